--- /dev/null
+++ b/caller/feed.go
@@ -0,0 +1,324 @@
+package caller
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"skylarkturn/internal/session"
+)
+
+const (
+	maxEvent  = 64 << 10 // bytes of a line
+	feedQueue = 64       // events read ahead
+)
+
+func jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return rand.N(d)
+}
+
+// Event is one event of a feed.
+type Event struct {
+	ID   string
+	Type string
+	Data string
+}
+
+// Feed is an event stream that is resumed after its last event whenever its
+// connection breaks or its target leaves.
+type Feed struct {
+	events chan Event
+	done   chan error
+	cancel context.CancelFunc
+	err    error
+}
+
+// Feed opens the event stream at a path, after the event with the given ID if it
+// is not empty.
+func (s *Session) Feed(ctx context.Context, path, lastID string) (*Feed, error) {
+	first, err := s.openStream(ctx, path, lastID)
+	if err != nil {
+		return nil, err
+	}
+	run, cancel := context.WithCancel(s.ctx)
+	f := &Feed{events: make(chan Event, feedQueue), done: make(chan error, 1), cancel: cancel}
+	p := &pump{session: s, path: path, lastID: lastID, out: f.events}
+	go func() {
+		defer close(f.events)
+		f.done <- p.run(run, first)
+	}()
+	return f, nil
+}
+
+// Next waits for the next event. After the feed's end it returns io.EOF.
+func (f *Feed) Next(ctx context.Context) (Event, error) {
+	select {
+	case e, ok := <-f.events:
+		if !ok {
+			return Event{}, io.EOF
+		}
+		return e, nil
+	case <-ctx.Done():
+		return Event{}, ctx.Err()
+	}
+}
+
+// Close ends the feed.
+func (f *Feed) Close() error {
+	f.cancel()
+	if f.done != nil {
+		f.err = <-f.done
+		f.done = nil
+	}
+	return f.err
+}
+
+// stream is a feed's stream on one connection.
+type stream struct {
+	conn   *connection
+	events chan Event // closed at its end
+	move   chan struct{}
+	cancel context.CancelFunc
+}
+
+// Opens the stream on the connection in use; it is tried again until ctx is done.
+func (s *Session) openStream(ctx context.Context, path, lastID string) (*stream, error) {
+	for {
+		st, err := s.tryStream(ctx, path, lastID)
+		if err == nil {
+			return st, nil
+		}
+		var e *Error
+		if errors.As(err, &e) && (e.Kind == Refused || e.Kind == Closed) {
+			return nil, err
+		}
+		var wait time.Duration
+		if e != nil {
+			wait = e.RetryAfter
+		}
+		if perr := s.pause(ctx, wait); perr != nil && !errors.Is(perr, errBudget) {
+			return nil, &Error{Op: "feed " + path, Kind: Unavailable, Err: errors.Join(perr, err)}
+		} else if perr != nil {
+			sleep(ctx, maxRedial)
+		}
+	}
+}
+
+func (s *Session) tryStream(ctx context.Context, path, lastID string) (*stream, error) {
+	c, err := s.connection(ctx)
+	if err != nil {
+		return nil, err
+	}
+	run, cancel := context.WithCancel(s.ctx)
+	stop := context.AfterFunc(ctx, cancel) // until the stream is open
+	defer stop()
+	req, err := http.NewRequestWithContext(run, http.MethodGet, "https://"+c.quic.ConnectionState().TLS.ServerName+path, nil)
+	if err != nil {
+		cancel()
+		return nil, &Error{Op: "feed " + path, Kind: Refused, Err: err}
+	}
+	req.Header.Set("Accept", "text/event-stream")
+	if lastID != "" {
+		req.Header.Set("Last-Event-ID", lastID)
+	}
+	c.acquire()
+	resp, err := c.http.RoundTrip(req)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = refusedStream(path, resp, c)
+	}
+	if err != nil {
+		c.release()
+		cancel()
+		return nil, err
+	}
+	st := &stream{conn: c, events: make(chan Event, feedQueue), move: make(chan struct{}), cancel: cancel}
+	s.retire.Add(1)
+	go func() {
+		defer s.retire.Done()
+		defer c.release()
+		defer close(st.events)
+		defer cancel()
+		st.read(run, resp.Body)
+	}()
+	return st, nil
+}
+
+func refusedStream(path string, resp *http.Response, c *connection) error {
+	defer resp.Body.Close()
+	if resp.Header.Get(session.HeaderMove) != "" {
+		c.move()
+	}
+	var res result
+	res.read(resp.Header)
+	kind := Unavailable
+	if res.final || resp.StatusCode < http.StatusInternalServerError && res.outcome == "" {
+		kind = Refused
+	}
+	return &Error{Op: "feed " + path, Kind: kind, RetryAfter: res.retryAfter, Err: fmt.Errorf("status %s", resp.Status)}
+}
+
+// Reads events until the stream ends; only whole events are passed on.
+func (st *stream) read(ctx context.Context, body io.ReadCloser) {
+	defer body.Close()
+	s := bufio.NewScanner(body)
+	s.Buffer(make([]byte, 0, 4096), maxEvent)
+	var e Event
+	asked := false
+	for s.Scan() {
+		line := s.Text()
+		switch {
+		case line == session.MoveComment && !asked:
+			asked = true
+			close(st.move)
+		case line == "" && e != Event{}:
+			select {
+			case st.events <- e:
+			case <-ctx.Done():
+				return
+			}
+			e = Event{}
+		default:
+			e.field(line)
+		}
+	}
+}
+
+func (e *Event) field(line string) {
+	name, value, _ := strings.Cut(line, ":")
+	value = strings.TrimPrefix(value, " ")
+	switch name {
+	case "id":
+		e.ID = value
+	case "event":
+		e.Type = value
+	case "data":
+		if e.Data != "" {
+			e.Data += "\n"
+		}
+		e.Data += value
+	}
+}
+
+// pump passes events of one stream after the other on, without gap or repeat.
+type pump struct {
+	session *Session
+	path    string
+	lastID  string
+	out     chan<- Event
+	passed  map[string]bool // IDs passed on since a successor was asked for
+}
+
+func (p *pump) run(ctx context.Context, st *stream) error {
+	for {
+		next, err := p.follow(ctx, st)
+		if err != nil || ctx.Err() != nil {
+			return nil
+		}
+		if next == nil {
+			if next, err = p.session.openStream(ctx, p.path, p.lastID); err != nil {
+				return err
+			}
+		}
+		st = next
+	}
+}
+
+type opened struct {
+	stream *stream
+	err    error
+}
+
+// Passes on the events of a stream until it ends, or until its successor is open
+// after the target asked to be left; the successor is opened while events of the
+// old stream still flow.
+func (p *pump) follow(ctx context.Context, st *stream) (*stream, error) {
+	defer st.cancel()
+	var successor chan opened
+	move := st.move
+	for {
+		select {
+		case e, ok := <-st.events:
+			if !ok {
+				return p.await(ctx, successor)
+			}
+			if err := p.pass(ctx, e); err != nil {
+				return nil, err
+			}
+		case <-move:
+			move = nil
+			st.conn.move()
+			p.passed = make(map[string]bool)
+			successor = p.openElsewhere(ctx, st.conn)
+		case o := <-successor:
+			return o.stream, nil
+		case <-ctx.Done():
+			p.discard(ctx, successor)
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (p *pump) openElsewhere(ctx context.Context, old *connection) chan opened {
+	ch := make(chan opened, 1)
+	lastID := p.lastID
+	go func() {
+		if _, err := p.session.other(ctx, old); err != nil {
+			ch <- opened{nil, err}
+			return
+		}
+		st, err := p.session.openStream(ctx, p.path, lastID)
+		ch <- opened{st, err}
+	}()
+	return ch
+}
+
+// The old stream ended by itself; its successor, if one was asked for, goes on.
+func (p *pump) await(ctx context.Context, successor chan opened) (*stream, error) {
+	if successor == nil {
+		p.passed = nil
+		return nil, nil
+	}
+	select {
+	case o := <-successor:
+		return o.stream, nil
+	case <-ctx.Done():
+		p.discard(ctx, successor)
+		return nil, ctx.Err()
+	}
+}
+
+func (p *pump) discard(_ context.Context, successor chan opened) {
+	if successor == nil {
+		return
+	}
+	if o := <-successor; o.stream != nil {
+		o.stream.cancel()
+	}
+}
+
+func (p *pump) pass(ctx context.Context, e Event) error {
+	if e.ID != "" && p.passed[e.ID] {
+		return nil
+	}
+	select {
+	case p.out <- e:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if e.ID != "" {
+		p.lastID = e.ID
+		if p.passed != nil {
+			p.passed[e.ID] = true
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/skylark-agent/main.go
@@ -0,0 +1,27 @@
+// Command skylark-agent is the daemon beside a target: it ends callers' sessions
+// and admits their requests to its host.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/phuslu/log"
+
+	"skylarkturn/internal/agent"
+	"skylarkturn/internal/daemon"
+)
+
+func main() {
+	var cfg agent.Settings
+	os.Exit(daemon.Main("skylark-agent", "Ends callers' sessions beside a target.", &cfg, &cfg.Log, func(ctx context.Context, l *log.Logger) error {
+		a, err := agent.New(cfg, agent.WithLogger(l))
+		if err != nil {
+			return err
+		}
+		if err := daemon.Announce(a.Addresses()); err != nil {
+			return err
+		}
+		return a.Run(ctx)
+	}))
+}
--- /dev/null
+++ b/cmd/skylark-balancer/main.go
@@ -0,0 +1,27 @@
+// Command skylark-balancer is the daemon of an entry VM: it routes datagrams of
+// callers to agents and serves the administration API.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/phuslu/log"
+
+	"skylarkturn/internal/balancer"
+	"skylarkturn/internal/daemon"
+)
+
+func main() {
+	var cfg balancer.Settings
+	os.Exit(daemon.Main("skylark-balancer", "Routes callers' datagrams to agents.", &cfg, &cfg.Log, func(ctx context.Context, l *log.Logger) error {
+		b, err := balancer.New(cfg, balancer.WithLogger(l))
+		if err != nil {
+			return err
+		}
+		if err := daemon.Announce(b.Addresses()); err != nil {
+			return err
+		}
+		return b.Run(ctx)
+	}))
+}
--- /dev/null
+++ b/internal/agent/conn.go
@@ -0,0 +1,345 @@
+package agent
+
+import (
+	"context"
+	"crypto/aes"
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"skylarkturn/internal/control"
+	"skylarkturn/internal/flow"
+	"skylarkturn/internal/link"
+)
+
+const (
+	handshakeMemory = 10 * time.Second       // for which a client's first ID leads to the same agent
+	viaMemory       = 3 * time.Minute        // for which a silent caller's balancer is remembered
+	viaFresh        = 500 * time.Millisecond // silence of a caller after which answers take turns over balancers
+	balancerFresh   = 2 * time.Second        // silence of a balancer after which no turn goes to it
+	maxHops         = 3
+	inboundQueue    = 4096
+)
+
+// admitter decides whether a first datagram is taken; else it names the agent
+// that it is handed on to. With neither it is dropped.
+type admitter interface {
+	admit(key uint64, hops uint8) (take bool, next netip.AddrPort)
+}
+
+type via struct {
+	balancer netip.AddrPort
+	seen     time.Time
+}
+
+type handshake struct {
+	next  netip.AddrPort // zero when taken here
+	until time.Time
+}
+
+type inbound struct {
+	data   []byte
+	caller net.UDPAddr
+}
+
+// conn is the packet connection of the QUIC server: it reads datagrams from
+// frames of balancers and sends answers in frames back through balancers.
+type conn struct {
+	udp      *net.UDPConn
+	self     netip.AddrPort
+	service  uint16
+	fence    uint32
+	sealer   flow.Sealer
+	keys     func() *flow.Keyring
+	admitter admitter
+	control  func(*control.Message)
+	codec    *control.Codec
+	counters *counters
+	nonce    atomic.Uint32
+	inbound  chan inbound
+	closed   chan struct{}
+	close    sync.Once
+	turn     atomic.Uint32
+	version  atomic.Uint32 // configuration generation of the service
+
+	mu         sync.Mutex // guards what follows
+	vias       map[netip.AddrPort]via
+	balancers  map[netip.AddrPort]time.Time
+	handshakes map[uint64]handshake
+	deadline   time.Time
+}
+
+func newConn(udp *net.UDPConn) *conn {
+	return &conn{
+		udp:        udp,
+		self:       link.LocalAddr(udp),
+		inbound:    make(chan inbound, inboundQueue),
+		closed:     make(chan struct{}),
+		vias:       make(map[netip.AddrPort]via),
+		balancers:  make(map[netip.AddrPort]time.Time),
+		handshakes: make(map[uint64]handshake),
+	}
+}
+
+var bufferPool = sync.Pool{New: func() any { return new([flow.FrameLen + 2048]byte) }}
+
+// Reads the inner socket until it is closed.
+func (c *conn) read(ctx context.Context) error {
+	r := link.NewReader(c.udp)
+	var scratch [aes.BlockSize]byte
+	for {
+		n, err := r.Read()
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return &Error{"read", KindNetwork, err}
+		}
+		now := time.Now()
+		for i := range n {
+			datagram, _ := r.Datagram(i)
+			c.take(now, datagram, &scratch)
+		}
+	}
+}
+
+func (c *conn) take(now time.Time, datagram []byte, scratch *[aes.BlockSize]byte) {
+	switch {
+	case flow.IsFrame(datagram):
+		c.takeFrame(now, datagram, scratch)
+	case control.Is(datagram):
+		c.takeControl(datagram)
+	default:
+		c.counters.unknown.Inc()
+	}
+}
+
+func (c *conn) takeControl(datagram []byte) {
+	c.counters.controlInBytes.Add(len(datagram))
+	m, err := c.codec.Open(datagram)
+	if err != nil {
+		c.counters.forged.Inc()
+		return
+	}
+	c.control(m)
+}
+
+func (c *conn) takeFrame(now time.Time, datagram []byte, scratch *[aes.BlockSize]byte) {
+	f, payload, err := c.sealer.Open(datagram)
+	if err != nil || f.Direction == flow.Outward {
+		c.counters.forged.Inc()
+		return
+	}
+	if f.Service != c.service {
+		c.counters.foreign.Inc()
+		return
+	}
+	h, err := flow.ParseHeader(payload)
+	if err != nil {
+		c.counters.foreign.Inc()
+		return
+	}
+	id, ours := c.keys().Decode(h.DCID, scratch)
+	ours = ours && id.Service == c.service
+	switch {
+	case ours && f.Direction == flow.Orphan:
+		c.counters.orphans.Inc()
+	case ours && id.Agent != c.self, !ours && !h.Long:
+		c.counters.foreign.Inc()
+		return
+	case ours && id.Fence != c.fence:
+		c.counters.fenced.Inc() // of an earlier incarnation here: the transport answers with a reset
+	case !ours && !c.first(now, f, h, datagram):
+		return
+	}
+	c.deliver(now, f, payload)
+}
+
+// Decides on a first datagram; the decision holds until the handshake is over.
+func (c *conn) first(now time.Time, f flow.Frame, h flow.Header, datagram []byte) (take bool) {
+	key := flow.KeyOf(h.DCID)
+	c.mu.Lock()
+	known, ok := c.handshakes[key]
+	c.mu.Unlock()
+	if !ok || now.After(known.until) {
+		take, next := c.admitter.admit(key, f.Hops)
+		if !take && !next.IsValid() {
+			c.counters.refusedFlows.Inc()
+			return false
+		}
+		known = handshake{next, now.Add(handshakeMemory)}
+		c.mu.Lock()
+		c.handshakes[key] = known
+		c.mu.Unlock()
+	}
+	if !known.next.IsValid() {
+		return true
+	}
+	f.Hops++
+	c.sealer.Put(datagram, f)
+	c.counters.handedOn.Inc()
+	if _, err := c.udp.WriteToUDPAddrPort(datagram, known.next); err != nil {
+		c.counters.sendErrors.Inc()
+	}
+	return false
+}
+
+func (c *conn) deliver(now time.Time, f flow.Frame, payload []byte) {
+	c.mu.Lock()
+	c.vias[f.Caller] = via{f.Via, now}
+	c.balancers[f.Via] = now
+	c.mu.Unlock()
+	in := inbound{append([]byte(nil), payload...), *net.UDPAddrFromAddrPort(f.Caller)}
+	select {
+	case c.inbound <- in:
+	default:
+		c.counters.queueDrops.Inc()
+	}
+}
+
+// Returns the balancer that an answer goes through: the one that the caller's
+// last datagram came by, or any in turn when the caller has been silent, since
+// that one may be gone.
+func (c *conn) through(now time.Time, caller netip.AddrPort) (netip.AddrPort, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	v, ok := c.vias[caller]
+	if !ok || now.Sub(v.seen) < viaFresh {
+		return v.balancer, ok
+	}
+	skip := int(c.turn.Add(1)) % (len(c.balancers) + 1)
+	for b, seen := range c.balancers {
+		if now.Sub(seen) > balancerFresh {
+			continue
+		}
+		if skip--; skip < 0 {
+			return b, true
+		}
+	}
+	return v.balancer, true
+}
+
+// heard notes a balancer that is alive.
+func (c *conn) heard(now time.Time, balancer netip.AddrPort) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.balancers[balancer] = now
+}
+
+// Forgets what has not been seen for long.
+func (c *conn) sweep(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for k, h := range c.handshakes {
+		if now.After(h.until) {
+			delete(c.handshakes, k)
+		}
+	}
+	for a, v := range c.vias {
+		if now.Sub(v.seen) > viaMemory {
+			delete(c.vias, a)
+		}
+	}
+	for b, seen := range c.balancers {
+		if now.Sub(seen) > viaMemory {
+			delete(c.balancers, b)
+		}
+	}
+}
+
+// ReadFrom returns the next datagram and its caller.
+func (c *conn) ReadFrom(p []byte) (int, net.Addr, error) {
+	c.mu.Lock()
+	deadline := c.deadline
+	c.mu.Unlock()
+	var timeout <-chan time.Time
+	if !deadline.IsZero() {
+		t := time.NewTimer(time.Until(deadline))
+		defer t.Stop()
+		timeout = t.C
+	}
+	select {
+	case in := <-c.inbound:
+		return copy(p, in.data), &in.caller, nil
+	case <-timeout:
+		return 0, nil, &net.OpError{Op: "read", Net: "skylark", Err: context.DeadlineExceeded}
+	case <-c.closed:
+		return 0, nil, net.ErrClosed
+	}
+}
+
+// WriteTo sends a datagram to a caller through a balancer.
+func (c *conn) WriteTo(p []byte, to net.Addr) (int, error) {
+	udp, ok := to.(*net.UDPAddr)
+	if !ok || len(p) > flow.MaxDatagram {
+		c.counters.sendErrors.Inc()
+		return len(p), nil // lost like a datagram that no link takes
+	}
+	caller := udp.AddrPort()
+	caller = netip.AddrPortFrom(caller.Addr().Unmap(), caller.Port())
+	balancer, ok := c.through(time.Now(), caller)
+	if !ok {
+		c.counters.sendErrors.Inc()
+		return len(p), nil
+	}
+	buf := bufferPool.Get().(*[flow.FrameLen + 2048]byte)
+	defer bufferPool.Put(buf)
+	framed := buf[:flow.FrameLen+copy(buf[flow.FrameLen:], p)]
+	c.sealer.Put(framed, flow.Frame{
+		Direction:  flow.Outward,
+		Service:    c.service,
+		Caller:     caller,
+		Via:        balancer,
+		Generation: c.version.Load(),
+	})
+	if _, err := c.udp.WriteToUDPAddrPort(framed, balancer); err != nil {
+		c.counters.sendErrors.Inc()
+	}
+	return len(p), nil
+}
+
+// Close ends reading.
+func (c *conn) Close() error {
+	c.close.Do(func() { close(c.closed) })
+	return nil
+}
+
+// LocalAddr returns the inner address.
+func (c *conn) LocalAddr() net.Addr { return c.udp.LocalAddr() }
+
+// SetDeadline sets the read deadline; writes never wait.
+func (c *conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
+
+// SetReadDeadline sets the time at which a later ReadFrom gives up.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	return nil
+}
+
+// SetWriteDeadline does nothing: writes never wait.
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+
+// GenerateConnectionID returns a new ID that leads balancers to this agent.
+func (c *conn) GenerateConnectionID() (quic.ConnectionID, error) {
+	var b [flow.IDLen]byte
+	err := c.keys().Encode(b[:], flow.ID{
+		Agent:   c.self,
+		Service: c.service,
+		Fence:   c.fence,
+		Nonce:   c.nonce.Add(1),
+	})
+	if err != nil {
+		return quic.ConnectionID{}, err
+	}
+	return quic.ConnectionIDFromBytes(b[:]), nil
+}
+
+// ConnectionIDLen returns the length of the IDs.
+func (c *conn) ConnectionIDLen() int { return flow.IDLen }
--- /dev/null
+++ b/internal/agent/counters.go
@@ -0,0 +1,64 @@
+package agent
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+type counters struct {
+	set             *metrics.Set
+	tenant          string
+	service         string
+	forged          *metrics.Counter
+	unknown         *metrics.Counter
+	foreign         *metrics.Counter
+	fenced          *metrics.Counter
+	orphans         *metrics.Counter
+	handedOn        *metrics.Counter
+	refusedFlows    *metrics.Counter
+	queueDrops      *metrics.Counter
+	sendErrors      *metrics.Counter
+	controlInBytes  *metrics.Counter
+	controlOutBytes *metrics.Counter
+	reloadErrors    *metrics.Counter
+
+	mu        sync.Mutex
+	durations map[string]*metrics.Histogram
+}
+
+func newCounters(s *metrics.Set, tenant, service string) *counters {
+	return &counters{
+		set:             s,
+		tenant:          tenant,
+		service:         service,
+		forged:          s.NewCounter("skylark_forged_total"),
+		unknown:         s.NewCounter("skylark_unknown_datagrams_total"),
+		foreign:         s.NewCounter("skylark_foreign_datagrams_total"),
+		fenced:          s.NewCounter("skylark_fenced_datagrams_total"),
+		orphans:         s.NewCounter("skylark_orphan_datagrams_total"),
+		handedOn:        s.NewCounter("skylark_flows_handed_on_total"),
+		refusedFlows:    s.NewCounter("skylark_flows_refused_total"),
+		queueDrops:      s.NewCounter("skylark_inbound_queue_drops_total"),
+		sendErrors:      s.NewCounter("skylark_send_errors_total"),
+		controlInBytes:  s.NewCounter("skylark_control_bytes_received_total"),
+		controlOutBytes: s.NewCounter("skylark_control_bytes_sent_total"),
+		reloadErrors:    s.NewCounter("skylark_credential_reload_errors_total"),
+		durations:       make(map[string]*metrics.Histogram),
+	}
+}
+
+// Counts a request of a class and the time it took.
+func (c *counters) request(class, result string, d time.Duration) {
+	name := fmt.Sprintf("skylark_request_seconds{tenant=%q,service=%q,class=%q,result=%q}", c.tenant, c.service, class, result)
+	c.mu.Lock()
+	h := c.durations[name]
+	if h == nil {
+		h = c.set.NewHistogram(name)
+		c.durations[name] = h
+	}
+	c.mu.Unlock()
+	h.Update(d.Seconds())
+}
--- /dev/null
+++ b/internal/agent/serve.go
@@ -0,0 +1,401 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"skylarkturn/internal/ops"
+	"skylarkturn/internal/request"
+	"skylarkturn/internal/service"
+	"skylarkturn/internal/session"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+const (
+	resolveTimeout = time.Second
+	maxTimeout     = 10 * time.Minute
+	maxKeyLen      = 128
+)
+
+// exchange is one request that the agent serves.
+type exchange struct {
+	w        http.ResponseWriter
+	r        *http.Request
+	ctx      context.Context // ends at the deadline and when the caller cancels
+	class    service.Class
+	session  uint64
+	deadline time.Duration // on the agent's clock
+	key      string
+	started  time.Time
+}
+
+// Returns the time since the agent's start, by the monotonic clock.
+func (a *Agent) clock() time.Duration { return time.Since(a.started) }
+
+func (a *Agent) serve(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(session.HeaderTarget, a.cfg.Name)
+	if r.URL.Path == session.Path {
+		a.serveSession(w, r)
+		return
+	}
+	s := a.service()
+	x := &exchange{
+		w:       w,
+		r:       r,
+		class:   s.ClassOf(r.URL.Path),
+		session: sessionOf(r.Context()),
+		key:     r.Header.Get(session.HeaderKey),
+		started: time.Now(),
+	}
+	a.requests.enter()
+	defer a.requests.leave()
+	if x.key != "" {
+		w.Header().Set(session.HeaderKey, x.key)
+	}
+	timeout, err := a.timeout(r)
+	if err != nil {
+		a.problem(x, problem{status: http.StatusBadRequest, title: "invalid", detail: err.Error(), outcome: request.OutcomeNotRun, final: true})
+		return
+	}
+	x.deadline = a.clock() + timeout
+	if x.class.Stream {
+		x.ctx = r.Context()
+		a.serveFeed(x)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	defer cancel()
+	x.ctx = ctx
+	switch {
+	case idempotent(r.Method, x.class):
+		a.serveIdempotent(x)
+	case x.key == "" && r.Header.Get(session.HeaderBinding) == "":
+		a.serveUnbound(x)
+	default:
+		a.serveBound(x)
+	}
+}
+
+// Methods that RFC 9110, 9.2.2 calls idempotent, or a class declared so.
+func idempotent(method string, c service.Class) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodPut, http.MethodDelete:
+		return true
+	}
+	return c.Idempotent
+}
+
+var errTimeout = errors.New(session.HeaderTimeout + ": want milliseconds from 1 to 600000")
+
+func (a *Agent) timeout(r *http.Request) (time.Duration, error) {
+	text := r.Header.Get(session.HeaderTimeout)
+	if text == "" {
+		return a.cfg.Timeout.Or(defaultTimeout), nil
+	}
+	ms, err := strconv.Atoi(text)
+	if err != nil || ms < 1 || time.Duration(ms)*time.Millisecond > maxTimeout {
+		return 0, errTimeout
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func (a *Agent) serveSession(w http.ResponseWriter, _ *http.Request) {
+	moving, _ := a.leaving.get()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(session.Info{Binding: a.binding(), Target: a.cfg.Name, Moving: moving}) // the caller is gone
+}
+
+// Returns a fresh binding to this incarnation.
+func (a *Agent) binding() string {
+	return request.Binding{
+		Agent:       a.conn.self,
+		Service:     a.cfg.Number,
+		Incarnation: a.fence,
+		Issued:      a.clock(),
+	}.Text(a.bindKey)
+}
+
+// Serves a request that may be sent again at will.
+func (a *Agent) serveIdempotent(x *exchange) {
+	if a.refuseLeaving(x) {
+		return
+	}
+	if !a.acquire(x) {
+		return
+	}
+	started := a.clock()
+	defer func() { a.requests.release(a.clock(), x.session, a.clock()-started) }()
+	a.relay(x)
+}
+
+// Refuses new work while the target leaves, and tells the caller to move.
+func (a *Agent) refuseLeaving(x *exchange) bool {
+	leaving, _ := a.leaving.get()
+	if !leaving {
+		return false
+	}
+	a.problem(x, problem{status: http.StatusServiceUnavailable, title: "leaving", detail: "the target takes no new work; open a session anew", outcome: request.OutcomeNotRun, move: true})
+	return true
+}
+
+// Waits for a slot; when there is none in time it answers so and returns false.
+func (a *Agent) acquire(x *exchange) bool {
+	err := a.requests.acquire(x.ctx, a.clock(), x.deadline, x.session, x.class.Priority)
+	if err == nil {
+		return true
+	}
+	a.problem(x, a.refused(err))
+	return false
+}
+
+func (a *Agent) refused(err error) problem {
+	p := problem{status: http.StatusServiceUnavailable, title: "overloaded", detail: err.Error(), outcome: request.OutcomeNotRun, retryAfter: time.Second}
+	var r *refusal
+	if errors.As(err, &r) {
+		p.retryAfter = r.retryAfter
+	}
+	return p
+}
+
+// Runs a request that is not idempotent and that brings no key: it can't be
+// told from a copy of it, so it runs once each time that it arrives.
+func (a *Agent) serveUnbound(x *exchange) {
+	if a.refuseLeaving(x) || !a.readBody(x) || !a.acquire(x) {
+		return
+	}
+	started := a.clock()
+	defer func() { a.requests.release(a.clock(), x.session, a.clock()-started) }()
+	answer, ran, err := a.callHost(x)
+	if err != nil {
+		a.problem(x, lost(ran, err))
+		return
+	}
+	a.writeAnswer(x, answer)
+}
+
+// Reads the whole body, so that a host never sees half of a request that is not
+// idempotent; when it can't, it answers so and returns false.
+func (a *Agent) readBody(x *exchange) bool {
+	body, err := io.ReadAll(io.LimitReader(x.r.Body, a.cfg.MaxBody+1))
+	switch {
+	case err != nil:
+		a.problem(x, problem{status: http.StatusBadRequest, title: "body", detail: "the body broke off", outcome: request.OutcomeNotRun})
+		return false
+	case int64(len(body)) > a.cfg.MaxBody:
+		a.problem(x, problem{status: http.StatusRequestEntityTooLarge, title: "body", detail: fmt.Sprintf("the body is above %d bytes", a.cfg.MaxBody), outcome: request.OutcomeNotRun, final: true})
+		return false
+	}
+	x.r.Body = io.NopCloser(bytes.NewReader(body))
+	x.r.ContentLength = int64(len(body))
+	return true
+}
+
+func lost(ran bool, err error) problem {
+	if ran {
+		return problem{status: http.StatusBadGateway, title: "host_lost", detail: err.Error(), outcome: request.OutcomeUnknown, final: true}
+	}
+	return problem{status: http.StatusServiceUnavailable, title: "host_unreachable", detail: err.Error(), outcome: request.OutcomeNotRun, retryAfter: time.Second}
+}
+
+func (a *Agent) serveBound(x *exchange) {
+	b, err := request.ParseBinding(x.r.Header.Get(session.HeaderBinding), a.bindKey)
+	if err != nil || x.key == "" || len(x.key) > maxKeyLen || b.Service != a.cfg.Number {
+		a.problem(x, problem{status: http.StatusBadRequest, title: "binding", detail: "want a key of at most 128 bytes and a binding that this service handed out", outcome: request.OutcomeNotRun, final: true})
+		return
+	}
+	if b.Agent != a.conn.self || b.Incarnation != a.fence {
+		a.resolveElsewhere(x, b)
+		return
+	}
+	if !a.readBody(x) {
+		return
+	}
+	for {
+		v, answer, done := a.requests.begin(a.clock(), x.key, b.Issued)
+		if v == request.Run {
+			a.runBound(x)
+			return
+		}
+		if v != request.InProgress {
+			a.answerVerdict(x, v, answer)
+			return
+		}
+		select {
+		case <-done:
+		case <-x.ctx.Done():
+			a.answerVerdict(x, request.InProgress, answer)
+			return
+		}
+	}
+}
+
+// Runs the one copy that the ledger let through. A caller that goes away does
+// not stop it: its retry will ask for the answer.
+func (a *Agent) runBound(x *exchange) {
+	if a.refuseLeaving(x) {
+		a.requests.end(x.key, func(l *request.Ledger) { l.Refuse(a.clock(), x.key) })
+		return
+	}
+	if err := a.requests.acquire(x.ctx, a.clock(), x.deadline, x.session, x.class.Priority); err != nil {
+		a.requests.end(x.key, func(l *request.Ledger) { l.Refuse(a.clock(), x.key) })
+		a.problem(x, a.refused(err))
+		return
+	}
+	started := a.clock()
+	caller := x.ctx
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(caller), x.deadline-started)
+	defer cancel()
+	x.ctx = ctx
+	answer, ran, err := a.callHost(x)
+	a.requests.release(a.clock(), x.session, a.clock()-started)
+	switch {
+	case err == nil:
+		a.requests.end(x.key, func(l *request.Ledger) { l.Finish(a.clock(), x.key, *answer) })
+		a.writeAnswer(x, answer)
+	case ran:
+		a.requests.end(x.key, func(l *request.Ledger) { l.Fail(a.clock(), x.key) })
+		a.problem(x, lost(ran, err))
+	default:
+		a.requests.end(x.key, func(l *request.Ledger) { l.Refuse(a.clock(), x.key) })
+		a.problem(x, lost(ran, err))
+	}
+}
+
+// Asks the incarnation that the request is bound to what became of it.
+func (a *Agent) resolveElsewhere(x *exchange, b request.Binding) {
+	if b.Agent == a.conn.self {
+		a.answerGone(x) // an earlier incarnation here
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.ctx, resolveTimeout)
+	defer cancel()
+	res, err := a.peers.Resolve(ctx, x.key, b)
+	switch {
+	case err != nil:
+		a.problem(x, problem{status: http.StatusServiceUnavailable, title: "bound_agent_silent", detail: "the agent that may have run the request does not answer", outcome: request.OutcomeUnknown, retryAfter: time.Second})
+	case !res.Known:
+		a.answerGone(x)
+	default:
+		a.answerVerdict(x, res.Verdict, res.Answer)
+	}
+}
+
+func (a *Agent) answerGone(x *exchange) {
+	a.problem(x, problem{status: http.StatusBadGateway, title: "bound_agent_gone", detail: "the agent that may have run the request has ended", outcome: request.OutcomeUnknown, final: true})
+}
+
+// Resolve tells another agent what became of a request that is bound to this
+// incarnation.
+func (a *Agent) Resolve(key string, b request.Binding) (request.Verdict, request.Answer, bool) {
+	if b.Incarnation != a.fence {
+		return 0, request.Answer{}, false
+	}
+	v, answer := a.requests.resolve(a.clock(), key, b.Issued)
+	return v, answer, true
+}
+
+func (a *Agent) answerVerdict(x *exchange, v request.Verdict, answer request.Answer) {
+	switch v {
+	case request.Replay:
+		if answer.Dropped {
+			a.problem(x, problem{status: http.StatusConflict, title: "answer_dropped", detail: "the request ran; its answer was too large to keep", outcome: request.OutcomeRun, final: true})
+			return
+		}
+		a.writeAnswer(x, &answer)
+	case request.InProgress:
+		a.problem(x, problem{status: http.StatusConflict, title: "in_progress", detail: "another copy of the request is running", outcome: request.OutcomeUnknown, retryAfter: time.Second})
+	case request.Fenced:
+		leaving, _ := a.leaving.get()
+		a.problem(x, problem{status: http.StatusServiceUnavailable, title: "not_run", detail: "the request did not run and will not under this binding", outcome: request.OutcomeNotRun, move: leaving})
+	case request.Lost:
+		a.problem(x, problem{status: http.StatusBadGateway, title: "host_lost", detail: "the host was lost while the request ran", outcome: request.OutcomeUnknown, final: true})
+	default:
+		a.problem(x, problem{status: http.StatusConflict, title: "binding_expired", detail: "the binding is too old to tell whether the request ran", outcome: request.OutcomeUnknown, final: true})
+	}
+}
+
+// problem is an answer of the agent's own, in the form of RFC 9457.
+type problem struct {
+	status     int
+	title      string
+	detail     string
+	outcome    request.Outcome
+	retryAfter time.Duration
+	final      bool
+	move       bool
+}
+
+type problemBody struct {
+	Type    string          `json:"type"`
+	Title   string          `json:"title"`
+	Status  int             `json:"status"`
+	Detail  string          `json:"detail"`
+	Outcome request.Outcome `json:"outcome"`
+}
+
+func (a *Agent) problem(x *exchange, p problem) {
+	h := x.w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(session.HeaderOutcome, string(p.outcome))
+	h.Set(session.HeaderBinding, a.binding())
+	if p.retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.retryAfter.Seconds()))))
+	}
+	if p.final {
+		h.Set(session.HeaderFinal, "1")
+	}
+	if p.move {
+		h.Set(session.HeaderMove, "1")
+	}
+	a.counters.request(x.class.Name, p.title, time.Since(x.started))
+	x.w.WriteHeader(p.status)
+	_ = json.NewEncoder(x.w).Encode(problemBody{"urn:skylarkturn:problem:" + p.title, p.title, p.status, p.detail, p.outcome}) // the caller is gone
+}
+
+func (a *Agent) writeAnswer(x *exchange, answer *request.Answer) {
+	h := x.w.Header()
+	if answer.ContentType != "" {
+		h.Set("Content-Type", answer.ContentType)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(answer.Body)))
+	h.Set(session.HeaderOutcome, string(request.OutcomeRun))
+	if moving, _ := a.leaving.get(); moving {
+		h.Set(session.HeaderMove, "1")
+	}
+	a.counters.request(x.class.Name, "answered", time.Since(x.started))
+	x.w.WriteHeader(answer.Status)
+	_, _ = x.w.Write(answer.Body) // the caller is gone; the ledger has the answer
+}
+
+type healthView struct {
+	Target   string `json:"target"`
+	State    string `json:"state"`
+	Sessions int64  `json:"sessions"`
+	Busy     int    `json:"busy"`
+}
+
+func (a *Agent) serveOps(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		a.mu.Lock()
+		state := a.me.State
+		a.mu.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(healthView{a.cfg.Name, state.String(), a.sessions.Load(), a.requests.busy()}) // the prober is gone
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		a.metrics.WritePrometheus(w)
+		metrics.WritePrometheus(w, true)
+	})
+	ops.Profiles(mux)
+	return ops.Serve(ctx, a.ops, mux)
+}
--- /dev/null
+++ b/internal/agent/settings.go
@@ -0,0 +1,137 @@
+package agent
+
+import (
+	"fmt"
+	"net/url"
+	"time"
+
+	"skylarkturn/internal/credential"
+	"skylarkturn/internal/settings"
+)
+
+// Settings are the settings of an agent, as its TOML file gives them.
+type Settings struct {
+	Name        string            `toml:"name"` // of the target
+	Host        string            `toml:"host"` // VM that the target runs on
+	Zone        string            `toml:"zone"`
+	Region      string            `toml:"region"`
+	Tenant      string            `toml:"tenant"`
+	Service     string            `toml:"service"`
+	Number      uint16            `toml:"number"` // of the service
+	Inner       string            `toml:"inner"`  // UDP and TCP address for balancers and other agents
+	Ops         string            `toml:"ops"`    // TCP address of metrics and health; profiles on loopback
+	Entry       string            `toml:"entry"`  // address at which the fabric reaches any balancer
+	Seeds       []string          `toml:"seeds"`  // inner addresses of some balancers
+	HostURL     string            `toml:"host_url"`
+	Slots       int               `toml:"slots"`        // requests at the host at a time
+	Queue       int               `toml:"queue"`        // requests that wait for a slot
+	MaxSessions int               `toml:"max_sessions"` // open sessions
+	MaxBody     int64             `toml:"max_body"`     // bytes of a request's body
+	Warmup      settings.Duration `toml:"warmup"`       // from start to the full share
+	Timeout     settings.Duration `toml:"timeout"`      // of a request that brings none
+	DrainLimit  settings.Duration `toml:"drain_limit"`  // for sessions to move before a planned stop ends them
+	Linger      settings.Duration `toml:"linger"`       // after the last session, to answer for lost answers
+	Overload    float64           `toml:"overload"`     // part over the fair share from which flows are handed on
+	Credentials credential.Files  `toml:"credentials"`
+	Log         settings.Log      `toml:"log"`
+}
+
+const (
+	defaultQueue       = 64
+	defaultMaxSessions = 20_000
+	defaultMaxBody     = 1 << 20
+	defaultWarmup      = 10 * time.Second
+	defaultTimeout     = 10 * time.Second
+	defaultDrainLimit  = 10 * time.Minute
+	defaultLinger      = 2 * time.Second
+	defaultOverload    = 0.02
+)
+
+// Check reports the first invalid value and fills in the defaults.
+func (s *Settings) Check() error {
+	for _, f := range [][2]string{{"name", s.Name}, {"host", s.Host}, {"zone", s.Zone}, {"tenant", s.Tenant}, {"service", s.Service}} {
+		if f[1] == "" {
+			return settings.Invalid(f[0], "a value is required")
+		}
+	}
+	if s.Number == 0 {
+		return settings.Invalid("number", "the service's number, 1 to 65535, is required")
+	}
+	if err := s.checkAddresses(); err != nil {
+		return err
+	}
+	if s.Slots < 1 || s.Slots > 10_000 {
+		return settings.Invalid("slots", "%d is not within 1 to 10000", s.Slots)
+	}
+	if s.Queue < 0 || s.MaxSessions < 0 || s.MaxBody < 0 {
+		return settings.Invalid("queue", "queue, max_sessions and max_body may not be negative")
+	}
+	if s.Overload < 0 || s.Overload > 1 {
+		return settings.Invalid("overload", "%g is not within 0 to 1", s.Overload)
+	}
+	if err := s.checkDurations(); err != nil {
+		return err
+	}
+	if err := s.Credentials.Check(); err != nil {
+		return err
+	}
+	if s.Credentials.CallerCert == "" {
+		return settings.Invalid("credentials.caller_cert_file", "a file name is required")
+	}
+	s.fillIn()
+	return s.Log.Check()
+}
+
+func (s *Settings) checkAddresses() error {
+	for _, a := range [][2]string{{"inner", s.Inner}, {"ops", s.Ops}} {
+		if err := settings.Address(a[0], a[1]); err != nil {
+			return err
+		}
+	}
+	if s.Entry == "" && len(s.Seeds) == 0 {
+		return settings.Invalid("entry", "entry or seeds is required to find balancers")
+	}
+	if s.Entry != "" {
+		if err := settings.Address("entry", s.Entry); err != nil {
+			return err
+		}
+	}
+	for i, a := range s.Seeds {
+		if err := settings.Address(fmt.Sprintf("seeds[%d]", i), a); err != nil {
+			return err
+		}
+	}
+	u, err := url.Parse(s.HostURL)
+	if err != nil || u.Scheme != "http" || u.Host == "" {
+		return settings.Invalid("host_url", "%q is not a URL such as \"http://127.0.0.1:8080\"", s.HostURL)
+	}
+	return nil
+}
+
+func (s *Settings) checkDurations() error {
+	if err := s.Warmup.Within("warmup", time.Millisecond, time.Hour); err != nil {
+		return err
+	}
+	if err := s.Timeout.Within("timeout", 10*time.Millisecond, 10*time.Minute); err != nil {
+		return err
+	}
+	if err := s.Linger.Within("linger", time.Millisecond, 10*time.Minute); err != nil {
+		return err
+	}
+	return s.DrainLimit.Within("drain_limit", time.Second, 24*time.Hour)
+}
+
+func (s *Settings) fillIn() {
+	if s.Queue == 0 {
+		s.Queue = defaultQueue
+	}
+	if s.MaxSessions == 0 {
+		s.MaxSessions = defaultMaxSessions
+	}
+	if s.MaxBody == 0 {
+		s.MaxBody = defaultMaxBody
+	}
+	if s.Overload == 0 {
+		s.Overload = defaultOverload
+	}
+}
--- /dev/null
+++ b/internal/balancer/members.go
@@ -0,0 +1,357 @@
+package balancer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"skylarkturn/internal/control"
+	"skylarkturn/internal/flow"
+	"skylarkturn/internal/roster"
+)
+
+const (
+	membersPerMessage     = 7
+	generationsPerMessage = 60
+	gossipFanout          = 3
+	probeEvery            = 5 // ticks
+	introduceEvery        = 5 // ticks between attempts to find a first peer
+	reintroduceEvery      = 50
+	repairMessages        = 4 // messages that answer one repair
+)
+
+// Drives what depends on time.
+func (b *Balancer) keepTime(ctx context.Context) error {
+	t := time.NewTicker(b.cfg.Tick.Or(defaultTick))
+	defer t.Stop()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			b.tick(now, n)
+		}
+	}
+}
+
+func (b *Balancer) tick(now time.Time, n int) {
+	if n%reintroduceEvery == 0 {
+		b.reloadCredentials()
+	}
+	b.mu.Lock()
+	b.countChanges(b.members.Tick(now, b.self))
+	out := b.gossip(now, n)
+	b.rebuild()
+	b.mu.Unlock()
+	for _, o := range out {
+		b.send(o.to, o.message)
+	}
+}
+
+func (b *Balancer) reloadCredentials() {
+	changed, err := b.creds.Reload()
+	if err != nil {
+		b.counters.reloadErrors.Inc()
+		b.log.Warn().Err(err).Msg("credentials not reloaded, the ones in use stay")
+		return
+	}
+	if changed {
+		b.mu.Lock()
+		b.stale = true
+		b.mu.Unlock()
+		b.log.Info().Msg("credentials reloaded")
+	}
+}
+
+func (b *Balancer) countChanges(changed []roster.Member) {
+	for _, m := range changed {
+		b.log.Info().Str("member", m.Name).Str("addr", m.Addr.String()).Str("state", m.State.String()).Msg("member changed state")
+	}
+}
+
+type outgoing struct {
+	to      netip.AddrPort
+	message *control.Message
+}
+
+// Returns the messages of one tick; called with mu held.
+func (b *Balancer) gossip(now time.Time, n int) (out []outgoing) {
+	deltas := b.members.Deltas(membersPerMessage)
+	generations := b.takeSpread()
+	if len(deltas) > 0 || len(generations) > 0 {
+		for _, p := range b.members.Peers(b.self, gossipFanout) {
+			out = append(out, outgoing{p.Addr, b.gossipMessage(now, deltas, generations)})
+		}
+	}
+	if n%probeEvery != 0 {
+		return out
+	}
+	targets := b.members.Awaited()
+	for _, p := range b.members.Peers(b.self, 1) {
+		targets = append(targets, p.Addr)
+		b.members.Await(now, p.Addr)
+	}
+	for _, a := range append(targets, b.introductions(n)...) {
+		m := b.gossipMessage(now, nil, nil)
+		m.Unknown = true
+		out = append(out, outgoing{a, m})
+	}
+	return out
+}
+
+// Returns where to look for other balancers: often while none is known, rarely
+// later, which joins halves that lost each other.
+func (b *Balancer) introductions(n int) []netip.AddrPort {
+	alone := len(b.members.Peers(b.self, 1)) == 0
+	if n%reintroduceEvery != 0 && !(alone && n%introduceEvery == 0) {
+		return nil
+	}
+	var to []netip.AddrPort
+	for _, s := range append([]string{b.cfg.Entry}, b.cfg.Seeds...) {
+		if a, err := netip.ParseAddrPort(s); err == nil && a != b.self {
+			to = append(to, a)
+		}
+	}
+	return to
+}
+
+func (b *Balancer) gossipMessage(now time.Time, members []roster.Member, generations []control.Generation) *control.Message {
+	return &control.Message{
+		Kind:        control.Gossip,
+		From:        b.me,
+		Members:     members,
+		Generations: generations,
+		Digest:      b.members.Digest(),
+		Config:      b.catalog.Digest(),
+		CheckedAgo:  b.checkedAgo(now),
+	}
+}
+
+// Takes the generations that are still to be spread, counting a transmission.
+func (b *Balancer) takeSpread() (generations []control.Generation) {
+	for number, left := range b.spread {
+		if len(generations) == generationsPerMessage {
+			break
+		}
+		generations = append(generations, control.Generation{Service: number, Number: b.catalog.Generation(number)})
+		if left <= 1 {
+			delete(b.spread, number)
+		} else {
+			b.spread[number] = left - 1
+		}
+	}
+	return generations
+}
+
+func (b *Balancer) send(to netip.AddrPort, m *control.Message) {
+	datagram, err := b.codec.Seal(m)
+	if err != nil {
+		b.log.Error().Err(err).Msg("message not sealed")
+		return
+	}
+	b.counters.controlOut.Inc()
+	b.counters.controlOutBytes.Add(len(datagram))
+	if _, err := b.inner.WriteToUDPAddrPort(datagram, to); err != nil {
+		b.counters.refused.Inc()
+	}
+}
+
+// Acts on a control message.
+func (b *Balancer) receive(now time.Time, m *control.Message) {
+	if m.From.Addr == b.self {
+		return
+	}
+	b.mu.Lock()
+	var out []outgoing
+	switch m.Kind {
+	case control.Heartbeat:
+		out = b.heartbeat(now, m)
+	case control.Gossip:
+		out = b.gossiped(now, m)
+	case control.Repair:
+		out = b.repair(now, m)
+	}
+	b.mu.Unlock()
+	for _, o := range out {
+		b.send(o.to, o.message)
+	}
+}
+
+// Answers an agent with what it needs to know of its service.
+func (b *Balancer) heartbeat(now time.Time, m *control.Message) []outgoing {
+	b.counters.heartbeats.Inc()
+	b.members.Heard(now, m.From)
+	number := m.From.Service
+	if m.From.Generation > b.catalog.Generation(number) {
+		b.want(pull{from: m.From.Addr, numbers: []uint16{number}})
+	}
+	known, _ := b.members.Get(m.From.Addr)
+	ack := &control.Message{
+		Kind:        control.Ack,
+		From:        b.lean(),
+		Unknown:     known.Name == "",
+		Believed:    known.State,
+		Generations: []control.Generation{{Service: number, Number: b.catalog.Generation(number)}},
+		Digest:      b.members.ServiceDigest(number),
+	}
+	for _, o := range b.members.Observers(number, roster.ObserverCount) {
+		ack.Observers = append(ack.Observers, o.Addr)
+	}
+	agents := b.agentsOf(number)
+	for _, a := range agents {
+		if a.Addr != m.From.Addr && roster.Live(&a) {
+			ack.Loads = append(ack.Loads, control.Load{Addr: a.Addr, Sessions: a.Sessions})
+		}
+	}
+	out := []outgoing{{m.From.Addr, ack}}
+	if ack.Digest != m.Digest {
+		out = append(out, b.inChunks(m.From.Addr, control.Ack, agents)...)
+	}
+	return out
+}
+
+// Returns the balancer's record without what rarely changes.
+func (b *Balancer) lean() roster.Member {
+	me := b.me
+	me.Name, me.Zone, me.Host = "", "", ""
+	return me
+}
+
+func (b *Balancer) agentsOf(number uint16) []roster.Member {
+	return b.members.Members(func(m *roster.Member) bool {
+		return m.Role == roster.Agent && m.Service == number
+	})
+}
+
+func (b *Balancer) inChunks(to netip.AddrPort, kind control.Kind, members []roster.Member) (out []outgoing) {
+	for len(members) > 0 {
+		n := min(membersPerMessage, len(members))
+		out = append(out, outgoing{to, &control.Message{Kind: kind, From: b.lean(), Members: members[:n], Reply: true}})
+		members = members[n:]
+	}
+	return out
+}
+
+func (b *Balancer) gossiped(now time.Time, m *control.Message) (out []outgoing) {
+	if m.From.Name != "" {
+		b.members.Heard(now, m.From)
+	}
+	for _, r := range m.Members {
+		b.learn(now, r)
+	}
+	b.learnGenerations(m)
+	b.learnChecked(now, m)
+	if m.Reply {
+		return nil
+	}
+	if m.Unknown {
+		answer := b.gossipMessage(now, nil, nil)
+		answer.Reply = m.Digest == answer.Digest
+		out = append(out, outgoing{m.From.Addr, answer})
+	}
+	if len(m.Members) == 0 && m.Digest != b.members.Digest() {
+		out = append(out, outgoing{m.From.Addr, &control.Message{
+			Kind: control.Repair, From: b.me, Buckets: b.members.Buckets(), Config: b.catalog.Digest(),
+		}})
+	}
+	return out
+}
+
+// Takes a record that another balancer sent; false news of this balancer's own
+// end is taken back.
+func (b *Balancer) learn(now time.Time, m roster.Member) {
+	if m.Addr != b.self {
+		b.members.Apply(now, m)
+		return
+	}
+	if m.Incarnation == b.me.Incarnation && m.State >= roster.Suspect && m.Seq >= b.me.Seq && b.me.State < roster.Suspect {
+		b.me.Seq = m.Seq + 1
+		b.members.Apply(now, b.me)
+	}
+}
+
+func (b *Balancer) learnGenerations(m *control.Message) {
+	var newer []uint16
+	for _, g := range m.Generations {
+		if g.Number > b.catalog.Generation(g.Service) {
+			newer = append(newer, g.Service)
+		}
+	}
+	if len(newer) > 0 {
+		b.want(pull{from: m.From.Addr, numbers: newer})
+	} else if m.Config != b.catalog.Digest() && m.Unknown {
+		b.want(pull{from: m.From.Addr, all: true})
+	}
+}
+
+// Answers with the records of the buckets in which the two views differ; a peer
+// that knows little is left to fetch all.
+func (b *Balancer) repair(now time.Time, m *control.Message) []outgoing {
+	b.members.Heard(now, m.From)
+	differing := b.members.Differing(m.Buckets, repairMessages*membersPerMessage)
+	if len(differing) == repairMessages*membersPerMessage {
+		b.want(pull{from: m.From.Addr, members: true})
+	}
+	return b.inChunks(m.From.Addr, control.Gossip, differing)
+}
+
+// Rebuilds the routing table if what it is made of has changed; called with mu
+// held.
+func (b *Balancer) rebuild() {
+	if b.built == b.members.Version() && !b.stale {
+		return
+	}
+	b.built, b.stale = b.members.Version(), false
+	services := make(map[uint16][]flow.Candidate)
+	suspects := make(map[uint16][]flow.Candidate)
+	current := make(map[netip.AddrPort]uint32)
+	for _, m := range b.members.Members(func(m *roster.Member) bool { return m.Role == roster.Agent }) {
+		b.addTarget(&m, services, suspects, current)
+	}
+	for number, c := range suspects {
+		if len(services[number]) == 0 {
+			services[number] = c
+		}
+	}
+	b.table.Store(flow.NewTable(b.creds.Keys(), services, current))
+	generations := make(map[uint16]uint32)
+	for _, s := range b.catalog.All() {
+		generations[s.Number] = s.Generation
+	}
+	b.generations.Store(&generations)
+}
+
+func (b *Balancer) addTarget(m *roster.Member, services, suspects map[uint16][]flow.Candidate, current map[netip.AddrPort]uint32) {
+	current[m.Addr] = flow.FenceOf(m.Incarnation)
+	if m.State.Certain() {
+		current[m.Addr] = 0
+	}
+	share := 1.0
+	if s, ok := b.catalog.Get(m.Service); ok {
+		share, _ = s.Intent.Share(m.Name, m.Host, m.Zone)
+	}
+	c := flow.Candidate{Agent: m.Addr, Weight: share * float64(m.Warmth) / 100}
+	if c.Weight <= 0 {
+		return
+	}
+	switch m.State {
+	case roster.Ready:
+		services[m.Service] = append(services[m.Service], c)
+	case roster.Suspect:
+		suspects[m.Service] = append(suspects[m.Service], c)
+	}
+}
+
+// Tells some balancers that this one leaves.
+func (b *Balancer) farewell() {
+	b.mu.Lock()
+	b.me.Seq++
+	b.me.State = roster.Left
+	m := b.gossipMessage(time.Now(), nil, nil)
+	m.Reply = true
+	peers := b.members.Peers(b.self, gossipFanout)
+	b.mu.Unlock()
+	for _, p := range peers {
+		b.send(p.Addr, m)
+	}
+}
--- /dev/null
+++ b/internal/balancer/settings.go
@@ -0,0 +1,87 @@
+package balancer
+
+import (
+	"fmt"
+	"time"
+
+	"skylarkturn/internal/credential"
+	"skylarkturn/internal/settings"
+)
+
+// Settings are the settings of a balancer, as its TOML file gives them.
+type Settings struct {
+	Name        string            `toml:"name"`
+	Zone        string            `toml:"zone"`
+	Region      string            `toml:"region"`
+	Inner       string            `toml:"inner"`    // UDP and TCP address for agents and other balancers
+	Admin       string            `toml:"admin"`    // TCP address of the administration API
+	Ops         string            `toml:"ops"`      // loopback TCP address of metrics, health and profiles
+	Entry       string            `toml:"entry"`    // address at which the fabric reaches any balancer
+	Seeds       []string          `toml:"seeds"`    // inner addresses of some balancers
+	Platform    string            `toml:"platform"` // base URL of the object API
+	Listen      []Listen          `toml:"listen"`
+	Credentials credential.Files  `toml:"credentials"`
+	Log         settings.Log      `toml:"log"`
+	Tick        settings.Duration `toml:"tick"`
+}
+
+// Listen is an address at which datagrams for one service arrive.
+type Listen struct {
+	Service string `toml:"service"`
+	Number  uint16 `toml:"number"`
+	Address string `toml:"address"`
+}
+
+const defaultTick = 200 * time.Millisecond
+
+// Check reports the first invalid value.
+func (s *Settings) Check() error {
+	if s.Name == "" {
+		return settings.Invalid("name", "a name is required")
+	}
+	if s.Zone == "" {
+		return settings.Invalid("zone", "the availability zone is required")
+	}
+	for _, a := range [][2]string{{"inner", s.Inner}, {"admin", s.Admin}, {"ops", s.Ops}} {
+		if err := settings.Address(a[0], a[1]); err != nil {
+			return err
+		}
+	}
+	if s.Entry != "" {
+		if err := settings.Address("entry", s.Entry); err != nil {
+			return err
+		}
+	}
+	for i, a := range s.Seeds {
+		if err := settings.Address(fmt.Sprintf("seeds[%d]", i), a); err != nil {
+			return err
+		}
+	}
+	if err := s.Tick.Within("tick", 50*time.Millisecond, time.Second); err != nil {
+		return err
+	}
+	if err := s.checkListen(); err != nil {
+		return err
+	}
+	if err := s.Credentials.Check(); err != nil {
+		return err
+	}
+	return s.Log.Check()
+}
+
+func (s *Settings) checkListen() error {
+	numbers := make(map[uint16]bool)
+	for _, l := range s.Listen {
+		if l.Service == "" || l.Number == 0 {
+			return settings.Invalid("listen.service", "each listen table names a service and its number from 1 to 65535")
+		}
+		if numbers[l.Number] {
+			return settings.Invalid("listen.number", "number %d is given twice", l.Number)
+		}
+		numbers[l.Number] = true
+		if err := settings.Address("listen.address", l.Address); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/phuslu/log"
+	"github.com/samber/oops"
+
+	"skylarkturn/internal/settings"
+)
+
+// Flags are the flags of a daemon.
+type Flags struct {
+	Config      string           `help:"TOML settings file." required:"" type:"path" placeholder:"FILE"`
+	CheckConfig bool             `help:"Check the settings and exit."`
+	LogLevel    string           `help:"Overrides log.level: debug, info, warn or error." enum:",debug,info,warn,error" default:""`
+	Version     kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// Exit codes of the daemons.
+const (
+	ExitFailure  = 1
+	ExitSettings = 2
+)
+
+// Main runs a daemon: it reads the flags and the settings into cfg and calls run
+// with a context that SIGTERM or SIGINT ends. It returns the exit code.
+func Main(name, about string, cfg settings.Checker, logging *settings.Log, run func(ctx context.Context, l *log.Logger) error) int {
+	var f Flags
+	kong.Parse(&f, kong.Name(name), kong.Description(about), kong.Vars{"version": Version()})
+	if err := settings.Load(f.Config, cfg); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return ExitSettings
+	}
+	if f.CheckConfig {
+		fmt.Printf("%s: settings are valid\n", f.Config)
+		return 0
+	}
+	if f.LogLevel != "" {
+		logging.Level = f.LogLevel
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	l := Logger(*logging, os.Stderr)
+	if err := run(ctx, l); err != nil {
+		err = oops.In(name).With("config", f.Config).Wrap(err)
+		l.Error().Err(err).Msg("daemon failed")
+		return ExitFailure
+	}
+	return 0
+}
+
+// Logger returns a logger for the settings that writes to w.
+func Logger(cfg settings.Log, w io.Writer) *log.Logger {
+	level := log.InfoLevel
+	if cfg.Level != "" {
+		level = log.ParseLevel(cfg.Level)
+	}
+	l := &log.Logger{Level: level, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: &log.IOWriter{Writer: w}}
+	if cfg.Format == "text" {
+		l.Writer = &log.ConsoleWriter{Writer: w}
+	}
+	return l
+}
+
+// Ready is the line that a daemon prints on standard output once it listens.
+type Ready struct {
+	Ready     bool `json:"ready"`
+	Addresses any  `json:"addresses"`
+}
+
+// Announce prints the ready line.
+func Announce(addresses any) error {
+	return json.NewEncoder(os.Stdout).Encode(Ready{true, addresses})
+}
+
+// Version returns the version of the program that is running.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return info.Main.Version + " " + s.Value
+		}
+	}
+	return info.Main.Version
+}
--- /dev/null
+++ b/internal/link/doc.go
@@ -0,0 +1,3 @@
+// Package link opens the inner address of a daemon, where UDP and TCP share one
+// port, and moves datagrams in batches.
+package link
--- /dev/null
+++ b/internal/ops/ops.go
@@ -0,0 +1,72 @@
+package ops
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"net/netip"
+	"time"
+)
+
+// KindServe is the kind of errors of servers.
+const KindServe = "serve"
+
+// Error reports the listener that failed and why.
+type Error struct {
+	Op   string
+	Kind string
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("ops: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	shutdownTimeout = time.Second
+	headerTimeout   = 5 * time.Second
+)
+
+// Serve serves h on ln until ctx is done.
+func Serve(ctx context.Context, ln net.Listener, h http.Handler) error {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	stopped := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(stopped)
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		defer cancel()
+		if s.Shutdown(ctx) != nil {
+			_ = s.Close() // what is left is cut
+		}
+	})
+	err := s.Serve(ln)
+	if !stop() {
+		<-stopped
+	}
+	if !errors.Is(err, http.ErrServerClosed) && ctx.Err() == nil {
+		return &Error{"serve " + ln.Addr().String(), KindServe, err}
+	}
+	return nil
+}
+
+// Profiles adds the profile endpoints, which answer on loopback only.
+func Profiles(mux *http.ServeMux) {
+	mux.HandleFunc("GET /debug/pprof/", local(pprof.Index))
+	mux.HandleFunc("GET /debug/pprof/profile", local(pprof.Profile))
+}
+
+func local(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		a, err := netip.ParseAddrPort(r.RemoteAddr)
+		if err != nil || !a.Addr().IsLoopback() {
+			http.Error(w, "profiles are served on loopback only", http.StatusForbidden)
+			return
+		}
+		h(w, r)
+	}
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,229 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/encoding"
+	"google.golang.org/grpc/keepalive"
+
+	"skylarkturn/internal/control"
+	"skylarkturn/internal/credential"
+	"skylarkturn/internal/request"
+	"skylarkturn/internal/roster"
+	"skylarkturn/internal/service"
+)
+
+// KindCall is the kind of errors of calls.
+const KindCall = "call"
+
+// Error reports the call that failed and why.
+type Error struct {
+	Op   string
+	Kind string
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("peer: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	codecName   = "cbor"
+	serviceName = "skylarkturn.Peer"
+	maxIdle     = 30 * time.Second
+	maxReceive  = 64 << 20 // bytes, a whole configuration
+)
+
+type codec struct{}
+
+func (codec) Marshal(v any) ([]byte, error)      { return cbor.Marshal(v) }
+func (codec) Unmarshal(data []byte, v any) error { return cbor.Unmarshal(data, v) }
+func (codec) Name() string                       { return codecName }
+
+var _ encoding.Codec = codec{}
+
+// Directory answers for the configuration and members that a daemon knows.
+type Directory interface {
+	// Services returns the services of which it has a newer generation than
+	// those given; with all, also those that are not given.
+	Services(have []control.Generation, all bool) []service.Service
+	Members() []roster.Member
+}
+
+// Resolver answers what became of a request that was bound to an incarnation;
+// known is false when the daemon is not that incarnation.
+type Resolver interface {
+	Resolve(key string, b request.Binding) (v request.Verdict, a request.Answer, known bool)
+}
+
+type (
+	servicesRequest struct {
+		Have []control.Generation `cbor:"1,keyasint,omitempty"`
+		All  bool                 `cbor:"2,keyasint,omitempty"`
+	}
+	servicesReply struct {
+		Services []service.Service `cbor:"1,keyasint,omitempty"`
+	}
+	membersRequest struct{}
+	membersReply   struct {
+		Members []roster.Member `cbor:"1,keyasint,omitempty"`
+	}
+	resolveRequest struct {
+		Key     string          `cbor:"1,keyasint"`
+		Binding request.Binding `cbor:"2,keyasint"`
+	}
+	resolveReply struct {
+		Known   bool            `cbor:"1,keyasint"`
+		Verdict request.Verdict `cbor:"2,keyasint,omitempty"`
+		Answer  request.Answer  `cbor:"3,keyasint,omitempty"`
+	}
+)
+
+// Resolution is what an incarnation says of a request.
+type Resolution struct {
+	Known   bool // false when the address now belongs to another incarnation
+	Verdict request.Verdict
+	Answer  request.Answer
+}
+
+type handlers struct {
+	directory Directory
+	resolver  Resolver
+}
+
+// Serve answers calls on ln until ctx is done; resolver may be nil.
+func Serve(ctx context.Context, ln net.Listener, creds *credential.Store, directory Directory, resolver Resolver) error {
+	s := grpc.NewServer(
+		grpc.Creds(credentials.NewTLS(creds.Server())),
+		grpc.ForceServerCodec(codec{}),
+		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: maxIdle}),
+	)
+	s.RegisterService(&description, &handlers{directory, resolver})
+	stop := context.AfterFunc(ctx, s.Stop)
+	defer stop()
+	if err := s.Serve(ln); err != nil && ctx.Err() == nil {
+		return &Error{"serve", KindCall, err}
+	}
+	return nil
+}
+
+var description = grpc.ServiceDesc{
+	ServiceName: serviceName,
+	HandlerType: (*any)(nil),
+	Methods: []grpc.MethodDesc{
+		{MethodName: "Services", Handler: unary((*handlers).services)},
+		{MethodName: "Members", Handler: unary((*handlers).members)},
+		{MethodName: "Resolve", Handler: unary((*handlers).resolve)},
+	},
+}
+
+func unary[Q, P any](f func(*handlers, context.Context, *Q) (*P, error)) grpc.MethodHandler {
+	return func(srv any, ctx context.Context, decode func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+		q := new(Q)
+		if err := decode(q); err != nil {
+			return nil, err
+		}
+		return f(srv.(*handlers), ctx, q)
+	}
+}
+
+func (h *handlers) services(_ context.Context, q *servicesRequest) (*servicesReply, error) {
+	return &servicesReply{h.directory.Services(q.Have, q.All)}, nil
+}
+
+func (h *handlers) members(context.Context, *membersRequest) (*membersReply, error) {
+	return &membersReply{h.directory.Members()}, nil
+}
+
+func (h *handlers) resolve(_ context.Context, q *resolveRequest) (*resolveReply, error) {
+	if h.resolver == nil {
+		return &resolveReply{}, nil
+	}
+	v, a, known := h.resolver.Resolve(q.Key, q.Binding)
+	return &resolveReply{Known: known, Verdict: v, Answer: a}, nil
+}
+
+// Client calls other daemons. Connections are kept while in use and closed
+// when idle.
+type Client struct {
+	creds *credential.Store
+
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*grpc.ClientConn
+}
+
+// NewClient returns a client that shows and checks certificates from creds.
+func NewClient(creds *credential.Store) *Client {
+	return &Client{creds: creds, conns: make(map[netip.AddrPort]*grpc.ClientConn)}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for a, conn := range c.conns {
+		_ = conn.Close() // nothing is lost with a connection that is given up
+		delete(c.conns, a)
+	}
+}
+
+// Services fetches the services of which the daemon at a has newer generations
+// than those given; with all, also those that are not given.
+func (c *Client) Services(ctx context.Context, a netip.AddrPort, have []control.Generation, all bool) ([]service.Service, error) {
+	var p servicesReply
+	err := c.invoke(ctx, a, "Services", &servicesRequest{have, all}, &p)
+	return p.Services, err
+}
+
+// Members fetches all members that the daemon at a knows.
+func (c *Client) Members(ctx context.Context, a netip.AddrPort) ([]roster.Member, error) {
+	var p membersReply
+	err := c.invoke(ctx, a, "Members", &membersRequest{}, &p)
+	return p.Members, err
+}
+
+// Resolve asks the incarnation that a request is bound to what became of it.
+func (c *Client) Resolve(ctx context.Context, key string, b request.Binding) (Resolution, error) {
+	var p resolveReply
+	err := c.invoke(ctx, b.Agent, "Resolve", &resolveRequest{key, b}, &p)
+	return Resolution(p), err
+}
+
+func (c *Client) invoke(ctx context.Context, a netip.AddrPort, method string, q, p any) error {
+	conn, err := c.conn(a)
+	if err != nil {
+		return &Error{method, KindCall, err}
+	}
+	if err := conn.Invoke(ctx, "/"+serviceName+"/"+method, q, p); err != nil {
+		return &Error{method, KindCall, err}
+	}
+	return nil
+}
+
+func (c *Client) conn(a netip.AddrPort) (*grpc.ClientConn, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if conn := c.conns[a]; conn != nil {
+		return conn, nil
+	}
+	conn, err := grpc.NewClient("passthrough:///"+a.String(),
+		grpc.WithTransportCredentials(credentials.NewTLS(c.creds.Client())),
+		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{}), grpc.MaxCallRecvMsgSize(maxReceive)),
+		grpc.WithIdleTimeout(maxIdle),
+	)
+	if err != nil {
+		return nil, err
+	}
+	c.conns[a] = conn
+	return conn, nil
+}
--- /dev/null
+++ b/internal/plan/plan.go
@@ -0,0 +1,268 @@
+package plan
+
+import (
+	"crypto/hmac"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+
+	"skylarkturn/internal/roster"
+	"skylarkturn/internal/service"
+)
+
+// Kinds of errors.
+const (
+	KindInvalid  = "invalid"
+	KindStale    = "stale"
+	KindForged   = "forged"
+	KindCapacity = "capacity"
+)
+
+// Error reports the operation of package plan that failed and why.
+type Error struct {
+	Op   string
+	Kind string
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("plan: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Plan is the system's answer to an intent.
+type Plan struct {
+	ID       string          `json:"id"`
+	Service  string          `json:"service"`
+	Base     uint32          `json:"base_generation"` // generation that the plan was made from; 0 creates the service
+	Draft    service.Service `json:"draft"`
+	Steps    []Step          `json:"steps"`
+	Shares   []Share         `json:"shares"`
+	Sessions uint32          `json:"moving_sessions"` // open sessions that will move
+	Warnings []string        `json:"warnings,omitempty"`
+	Seal     string          `json:"seal"` // shows that a balancer made the plan
+}
+
+// Step is one thing that the system does once the plan is confirmed.
+type Step struct {
+	Action string `json:"action"` // create, drain, activate, share or settings
+	Target string `json:"target,omitempty"`
+	Detail string `json:"detail"`
+}
+
+// Share is the part of new flows that a target takes, from 0 to 1.
+type Share struct {
+	Target string  `json:"target"`
+	Zone   string  `json:"zone"`
+	Before float64 `json:"before"`
+	After  float64 `json:"after"`
+}
+
+// Make works out the plan that takes a service from its present form, nil for
+// a new one, to the draft, given the agents of the service that are known.
+func Make(current *service.Service, draft service.Service, agents []roster.Member, key []byte) (*Plan, error) {
+	p := &Plan{Service: draft.Name, Draft: draft}
+	var before service.Intent
+	if current != nil {
+		if err := compatible(current, &draft); err != nil {
+			return nil, &Error{"make", KindInvalid, err}
+		}
+		p.Base = current.Generation
+		before = current.Intent
+	}
+	p.Draft.Generation, p.Draft.PlanID, p.Draft.Past = p.Base+1, "", nil
+	if err := p.Draft.Check(); err != nil {
+		return nil, &Error{"make", KindInvalid, err}
+	}
+	if err := p.checkTargets(agents); err != nil {
+		return nil, err
+	}
+	p.setShares(current, &before, agents)
+	if err := p.checkCapacity(agents); err != nil {
+		return nil, err
+	}
+	p.addSteps(current, &before, agents)
+	p.ID = p.hash()
+	p.Seal = seal(p.ID, key)
+	return p, nil
+}
+
+func compatible(current, draft *service.Service) error {
+	if current.Tenant != draft.Tenant {
+		return fmt.Errorf("tenant: service %q belongs to tenant %q, not %q", current.Name, current.Tenant, draft.Tenant)
+	}
+	if current.Number != draft.Number {
+		return fmt.Errorf("number: service %q has number %d, which open flows carry; %d is refused", current.Name, current.Number, draft.Number)
+	}
+	return nil
+}
+
+func (p *Plan) checkTargets(agents []roster.Member) error {
+	if len(agents) == 0 {
+		return nil
+	}
+	for i, r := range p.Draft.Intent.Rules {
+		if slices.ContainsFunc(agents, func(m roster.Member) bool { return selects(&r, &m) }) {
+			continue
+		}
+		return &Error{"make", KindInvalid, fmt.Errorf(
+			"intent.rules[%d]: target, host or zone %q is not known to service %q", i, r.Target+r.Host+r.Zone, p.Service)}
+	}
+	return nil
+}
+
+func selects(r *service.Rule, m *roster.Member) bool {
+	return r.Target == m.Name && r.Target != "" || r.Host == m.Host && r.Host != "" || r.Zone == m.Zone && r.Zone != ""
+}
+
+func (p *Plan) setShares(current *service.Service, before *service.Intent, agents []roster.Member) {
+	var sumBefore, sumAfter float64
+	for _, m := range agents {
+		b, _ := before.Share(m.Name, m.Host, m.Zone)
+		if current == nil {
+			b = 0
+		}
+		a, _ := p.Draft.Intent.Share(m.Name, m.Host, m.Zone)
+		sumBefore += b
+		sumAfter += a
+		p.Shares = append(p.Shares, Share{m.Name, m.Zone, b, a})
+	}
+	for i := range p.Shares {
+		p.Shares[i].Before = ratio(p.Shares[i].Before, sumBefore)
+		p.Shares[i].After = ratio(p.Shares[i].After, sumAfter)
+	}
+}
+
+func ratio(part, sum float64) float64 {
+	if sum == 0 {
+		return 0
+	}
+	return part / sum
+}
+
+// Half of the targets gone at once is worth a warning; none left is refused.
+func (p *Plan) checkCapacity(agents []roster.Member) error {
+	if len(agents) == 0 {
+		p.Warnings = append(p.Warnings, fmt.Sprintf("no target of service %q has announced itself", p.Service))
+		return nil
+	}
+	taking := 0
+	for _, s := range p.Shares {
+		if s.After > 0 {
+			taking++
+		}
+	}
+	if taking == 0 {
+		return &Error{"make", KindCapacity, fmt.Errorf("intent: no target of service %q would be left to take work", p.Service)}
+	}
+	if 2*taking < len(agents) {
+		p.Warnings = append(p.Warnings, fmt.Sprintf("%d of %d targets would carry the whole load", taking, len(agents)))
+	}
+	return nil
+}
+
+func (p *Plan) addSteps(current *service.Service, before *service.Intent, agents []roster.Member) {
+	if current == nil {
+		p.Steps = append(p.Steps, Step{"create", "", fmt.Sprintf("serve %v as number %d", p.Draft.Addresses, p.Draft.Number)})
+		return
+	}
+	if !sameSettings(current, &p.Draft) {
+		p.Steps = append(p.Steps, Step{"settings", "", "addresses or classes change"})
+	}
+	for _, m := range agents {
+		p.addTargetStep(before, &m)
+	}
+}
+
+func (p *Plan) addTargetStep(before *service.Intent, m *roster.Member) {
+	b, drained := before.Share(m.Name, m.Host, m.Zone)
+	a, drain := p.Draft.Intent.Share(m.Name, m.Host, m.Zone)
+	switch {
+	case drain && !drained:
+		p.Sessions += m.Sessions
+		p.Steps = append(p.Steps, Step{"drain", m.Name, fmt.Sprintf("no new work; %d sessions move to other targets", m.Sessions)})
+	case drained && !drain:
+		p.Steps = append(p.Steps, Step{"activate", m.Name, fmt.Sprintf("takes work with share %g", a)})
+	case a != b:
+		p.Steps = append(p.Steps, Step{"share", m.Name, fmt.Sprintf("share %g becomes %g", b, a)})
+	}
+}
+
+func sameSettings(a, b *service.Service) bool {
+	return slices.Equal(a.Addresses, b.Addresses) && slices.Equal(a.Classes, b.Classes)
+}
+
+func (p *Plan) hash() string {
+	body, err := json.Marshal(struct {
+		Base  uint32
+		Draft service.Service
+	}{p.Base, p.Draft})
+	if err != nil {
+		return ""
+	}
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:8])
+}
+
+func seal(id string, key []byte) string {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte(id))
+	return hex.EncodeToString(h.Sum(nil)[:16])
+}
+
+// Verify reports an error when the plan was not made by a balancer with the key
+// or was altered since.
+func (p *Plan) Verify(key []byte) error {
+	if p.ID == "" || p.ID != p.hash() || !hmac.Equal([]byte(p.Seal), []byte(seal(p.ID, key))) {
+		return &Error{"verify", KindForged, errors.New("plan was altered or not made by this system")}
+	}
+	return nil
+}
+
+// Confirm returns the service as it is once the plan is confirmed on top of
+// current, nil when there is none. It returns done when the plan was confirmed
+// before, and an error of kind stale when another plan came between.
+func (p *Plan) Confirm(current *service.Service, by string) (next service.Service, done bool, err error) {
+	if current != nil && confirmed(current, p.ID) {
+		return *current, true, nil
+	}
+	generation := uint32(0)
+	if current != nil {
+		generation = current.Generation
+	}
+	if generation != p.Base {
+		return service.Service{}, false, &Error{"confirm", KindStale, fmt.Errorf(
+			"service %q is at generation %d, the plan was made from %d: %s", p.Service, generation, p.Base, since(current, p.Base))}
+	}
+	next = p.Draft
+	next.PlanID = p.ID
+	change := service.Change{Generation: next.Generation, PlanID: p.ID, By: by, Intent: next.Intent}
+	next.Past = append([]service.Change{change}, past(current)...)
+	next.Past = next.Past[:min(len(next.Past), service.MaxPast)]
+	return next, false, nil
+}
+
+func confirmed(s *service.Service, id string) bool {
+	return slices.ContainsFunc(s.Past, func(c service.Change) bool { return c.PlanID == id })
+}
+
+func past(s *service.Service) []service.Change {
+	if s == nil {
+		return nil
+	}
+	return s.Past
+}
+
+func since(s *service.Service, base uint32) string {
+	text := "confirmed since:"
+	for _, c := range past(s) {
+		if c.Generation > base {
+			text += fmt.Sprintf(" plan %s by %s (generation %d)", c.PlanID, c.By, c.Generation)
+		}
+	}
+	return text
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,183 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Kind classifies an Error.
+type Kind string
+
+// Kinds of errors.
+const (
+	KindNotFound    Kind = "not_found"
+	KindConflict    Kind = "conflict"    // the condition of an update did not hold
+	KindThrottled   Kind = "throttled"   // too many calls, see Error.RetryAfter
+	KindUnavailable Kind = "unavailable" // no answer, or one that says nothing of the effect
+	KindRefused     Kind = "refused"
+)
+
+// Error reports the call of the object API that failed and why.
+type Error struct {
+	Op         string
+	Kind       Kind
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("platform: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// IsKind reports whether err is an Error of the kind.
+func IsKind(err error, kind Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == kind
+}
+
+const (
+	maxValue     = 1 << 20         // bytes
+	callTimeout  = 2 * time.Second // for a call that does not wait
+	watchSlack   = 5 * time.Second // over the wait that a watch asks for
+	maxListBytes = 64 << 20
+)
+
+// Object is one value with its version.
+type Object struct {
+	Name    string          `json:"name"`
+	Version string          `json:"version"`
+	Value   json.RawMessage `json:"value"`
+}
+
+// List is a set of objects of a kind as of a revision.
+type List struct {
+	Revision uint64   `json:"revision"`
+	Items    []Object `json:"items"`
+}
+
+// Client calls the object API at a base URL.
+type Client struct {
+	base  string
+	http  *http.Client
+	calls *metrics.Counter
+}
+
+// NewClient returns a client of the API at base.
+func NewClient(base string, hc *http.Client) *Client {
+	return &Client{
+		base:  strings.TrimSuffix(base, "/"),
+		http:  hc,
+		calls: metrics.GetOrCreateCounter(`skylark_platform_calls_total`),
+	}
+}
+
+// Get returns one object.
+func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
+	body, etag, err := c.call(ctx, callTimeout, http.MethodGet, "/v1/objects/"+kind+"/"+url.PathEscape(name), nil, nil)
+	if err != nil {
+		return Object{}, err
+	}
+	return Object{Name: name, Version: etag, Value: body}, nil
+}
+
+// Put writes an object if its version still is version; an empty version
+// creates it and fails when it exists. An error of kind unavailable leaves open
+// whether the write took effect.
+func (c *Client) Put(ctx context.Context, kind, name, version string, value []byte) (newVersion string, err error) {
+	if len(value) > maxValue {
+		return "", &Error{Op: "put", Kind: KindRefused, Err: fmt.Errorf("value of %d bytes is above %d", len(value), maxValue)}
+	}
+	h := http.Header{}
+	if version == "" {
+		h.Set("If-None-Match", "*")
+	} else {
+		h.Set("If-Match", version)
+	}
+	_, etag, err := c.call(ctx, callTimeout, http.MethodPut, "/v1/objects/"+kind+"/"+url.PathEscape(name), h, value)
+	return etag, err
+}
+
+// List returns all objects of a kind.
+func (c *Client) List(ctx context.Context, kind string) (List, error) {
+	return c.list(ctx, callTimeout, "/v1/objects/"+kind)
+}
+
+// Watch waits for changes of objects of a kind after a revision, at most for
+// wait, and returns what changed.
+func (c *Client) Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (List, error) {
+	q := url.Values{"since": {strconv.FormatUint(since, 10)}, "wait": {wait.String()}}
+	return c.list(ctx, wait+watchSlack, "/v1/watch/"+kind+"?"+q.Encode())
+}
+
+func (c *Client) list(ctx context.Context, timeout time.Duration, path string) (List, error) {
+	body, _, err := c.call(ctx, timeout, http.MethodGet, path, nil, nil)
+	if err != nil {
+		return List{}, err
+	}
+	var l List
+	if err := json.Unmarshal(body, &l); err != nil {
+		return List{}, &Error{Op: "list", Kind: KindUnavailable, Err: err}
+	}
+	return l, nil
+}
+
+func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, h http.Header, body []byte) ([]byte, string, error) {
+	op := strings.ToLower(method)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, "", &Error{Op: op, Kind: KindRefused, Err: err}
+	}
+	for k, v := range h {
+		req.Header[k] = v
+	}
+	c.calls.Inc()
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, "", &Error{Op: op, Kind: KindUnavailable, Err: err}
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
+	if err != nil {
+		return nil, "", &Error{Op: op, Kind: KindUnavailable, Err: err}
+	}
+	if err := check(op, resp, answer); err != nil {
+		return nil, "", err
+	}
+	return answer, resp.Header.Get("ETag"), nil
+}
+
+func check(op string, resp *http.Response, body []byte) error {
+	e := &Error{Op: op, Err: fmt.Errorf("status %s: %.200s", resp.Status, body)}
+	switch resp.StatusCode {
+	case http.StatusOK, http.StatusCreated:
+		return nil
+	case http.StatusNotFound:
+		e.Kind = KindNotFound
+	case http.StatusPreconditionFailed:
+		e.Kind = KindConflict
+	case http.StatusTooManyRequests:
+		e.Kind = KindThrottled
+		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+		e.RetryAfter = time.Duration(seconds) * time.Second
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
+		e.Kind = KindRefused
+	default:
+		e.Kind = KindUnavailable
+	}
+	return e
+}
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,323 @@
+package roster
+
+import (
+	"cmp"
+	"math/bits"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/zeebo/xxh3"
+)
+
+// BucketCount is the number of buckets that digests are kept for.
+const BucketCount = 64
+
+// Timing holds the intervals that a Roster judges members by.
+type Timing struct {
+	SuspectAfter time.Duration // silence of an observed agent, or of a balancer that was asked
+	AdoptAfter   time.Duration // grace for an agent whose observer this daemon has become
+	GoneAfter    time.Duration // time as suspect
+	ForgetAfter  time.Duration // time that a gone or left member is remembered
+}
+
+// DefaultTiming keeps the time from a target's death to its removal from
+// placement under three seconds.
+var DefaultTiming = Timing{
+	SuspectAfter: 1800 * time.Millisecond,
+	AdoptAfter:   5 * time.Second,
+	GoneAfter:    10 * time.Second,
+	ForgetAfter:  10 * time.Minute,
+}
+
+type entry struct {
+	member  Member
+	heard   time.Time // last heartbeat of an agent; zero when not observed
+	awaited time.Time // since when a balancer owes an answer; zero when it owes none
+	changed time.Time
+	sends   int // transmissions of the record still to make
+}
+
+// Roster is the view that one daemon has of the members. It is not safe for
+// concurrent use.
+type Roster struct {
+	timing  Timing
+	rand    *rand.Rand
+	entries map[netip.AddrPort]*entry
+	pending []netip.AddrPort // addresses with transmissions to make
+	buckets [BucketCount]uint64
+	version uint64
+
+	balancers uint64              // version of the set of live balancers
+	chosen    map[uint16][]Member // observers by service, as of chosenAt
+	chosenAt  uint64
+}
+
+// New returns an empty roster.
+func New(timing Timing, source *rand.Rand) *Roster {
+	return &Roster{timing: timing, rand: source, entries: make(map[netip.AddrPort]*entry)}
+}
+
+// Version rises with every change that placement or digests can see.
+func (r *Roster) Version() uint64 { return r.version }
+
+// Len returns the number of members, those gone included.
+func (r *Roster) Len() int { return len(r.entries) }
+
+// Heard takes a message that came from the member itself and reports whether
+// its record changed. A record without name, zone and host keeps those known.
+func (r *Roster) Heard(now time.Time, m Member) bool {
+	if e := r.entries[m.Addr]; e != nil && m.Name == "" {
+		m.Name, m.Zone, m.Host = e.member.Name, e.member.Zone, e.member.Host
+	}
+	changed := r.Apply(now, m)
+	e := r.entries[m.Addr]
+	if e.member.Incarnation != m.Incarnation {
+		return changed
+	}
+	if m.Role == Agent {
+		e.heard = now
+	}
+	e.awaited = time.Time{}
+	e.member.Sessions = m.Sessions
+	e.member.Generation = m.Generation
+	return changed
+}
+
+// Apply takes a record, whoever sent it, and reports whether it was news.
+func (r *Roster) Apply(now time.Time, m Member) bool {
+	e := r.entries[m.Addr]
+	if e == nil {
+		e = &entry{}
+		r.entries[m.Addr] = e
+	} else if !m.Supersedes(&e.member) {
+		return false
+	}
+	e.heard, e.awaited = time.Time{}, time.Time{} // others hear it, too
+	r.replace(now, e, m)
+	return true
+}
+
+// Await notes that a balancer was sent a message that it has to answer.
+func (r *Roster) Await(now time.Time, a netip.AddrPort) {
+	if e := r.entries[a]; e != nil && e.awaited.IsZero() {
+		e.awaited = now
+	}
+}
+
+// Awaited returns the live balancers that owe an answer.
+func (r *Roster) Awaited() []netip.AddrPort {
+	var owing []netip.AddrPort
+	for a, e := range r.entries {
+		if !e.awaited.IsZero() && Live(&e.member) {
+			owing = append(owing, a)
+		}
+	}
+	slices.SortFunc(owing, netip.AddrPort.Compare)
+	return owing
+}
+
+func (r *Roster) replace(now time.Time, e *entry, m Member) {
+	if e.member.Addr.IsValid() {
+		r.buckets[bucketOf(m.Addr)] ^= e.member.hash()
+	}
+	if m.Role == Balancer && (e.member.Incarnation != m.Incarnation || Live(&e.member) != Live(&m)) {
+		r.balancers++
+	}
+	e.member = m
+	e.changed = now
+	r.buckets[bucketOf(m.Addr)] ^= m.hash()
+	r.version++
+	if e.sends == 0 {
+		r.pending = append(r.pending, m.Addr)
+	}
+	e.sends = r.transmissions()
+}
+
+// Each record is sent about 3·log2(n) times by each member that learns it.
+func (r *Roster) transmissions() int { return 3 * (bits.Len(uint(len(r.entries))) + 1) }
+
+// Tick judges the members that self observes, forgets those gone for long, and
+// returns the records that changed.
+func (r *Roster) Tick(now time.Time, self netip.AddrPort) []Member {
+	var changed []Member
+	for a, e := range r.entries {
+		if a == self {
+			continue
+		}
+		if e.member.Role == Agent && Live(&e.member) {
+			r.adopt(now, e, self)
+		}
+		next, due := r.judge(now, e)
+		if !due {
+			continue
+		}
+		if next == 0 {
+			r.forget(a, e)
+			continue
+		}
+		m := e.member
+		m.State = next
+		r.replace(now, e, m)
+		changed = append(changed, m)
+	}
+	slices.SortFunc(changed, func(a, b Member) int { return a.Addr.Compare(b.Addr) })
+	return changed
+}
+
+// Starts to judge an agent when self has become its observer, and stops when
+// it no longer is.
+func (r *Roster) adopt(now time.Time, e *entry, self netip.AddrPort) {
+	observing := contains(r.Observers(e.member.Service, ObserverCount), self)
+	switch {
+	case !observing:
+		e.heard = time.Time{}
+	case e.heard.IsZero():
+		e.heard = now.Add(r.timing.AdoptAfter)
+	}
+}
+
+// Returns the state that is due for the member; zero is to forget it.
+func (r *Roster) judge(now time.Time, e *entry) (State, bool) {
+	age := now.Sub(e.changed)
+	switch {
+	case e.member.State >= Gone:
+		return 0, age > r.timing.ForgetAfter
+	case e.member.State == Suspect:
+		return Gone, age > r.timing.GoneAfter
+	case !e.heard.IsZero():
+		return Suspect, now.Sub(e.heard) > r.timing.SuspectAfter
+	case !e.awaited.IsZero():
+		return Suspect, now.Sub(e.awaited) > r.timing.SuspectAfter
+	}
+	return 0, false
+}
+
+// ServiceDigest returns a hash over the records of a service's agents.
+func (r *Roster) ServiceDigest(service uint16) uint64 {
+	var d uint64
+	for _, e := range r.entries {
+		if e.member.Role == Agent && e.member.Service == service {
+			d ^= e.member.hash()
+		}
+	}
+	return d
+}
+
+func (r *Roster) forget(a netip.AddrPort, e *entry) {
+	r.buckets[bucketOf(a)] ^= e.member.hash()
+	if e.member.Role == Balancer {
+		r.balancers++
+	}
+	delete(r.entries, a)
+	r.version++
+}
+
+// Get returns the record of the member at the address.
+func (r *Roster) Get(a netip.AddrPort) (Member, bool) {
+	if e := r.entries[a]; e != nil {
+		return e.member, true
+	}
+	return Member{}, false
+}
+
+// Heartbeat returns when the member was last heard directly; zero is never.
+func (r *Roster) Heartbeat(a netip.AddrPort) time.Time {
+	if e := r.entries[a]; e != nil {
+		return e.heard
+	}
+	return time.Time{}
+}
+
+// Members returns the members for which keep is true, ordered by address.
+func (r *Roster) Members(keep func(*Member) bool) []Member {
+	var found []Member
+	for _, e := range r.entries {
+		if keep(&e.member) {
+			found = append(found, e.member)
+		}
+	}
+	slices.SortFunc(found, func(a, b Member) int { return a.Addr.Compare(b.Addr) })
+	return found
+}
+
+// Deltas returns up to n records that are still to be spread, those with the
+// most transmissions left first, and counts one transmission for each.
+func (r *Roster) Deltas(n int) []Member {
+	r.pending = slices.DeleteFunc(r.pending, func(a netip.AddrPort) bool {
+		e := r.entries[a]
+		return e == nil || e.sends == 0
+	})
+	slices.SortStableFunc(r.pending, func(a, b netip.AddrPort) int {
+		return cmp.Compare(r.entries[b].sends, r.entries[a].sends)
+	})
+	picked := r.pending[:min(n, len(r.pending))]
+	deltas := make([]Member, len(picked))
+	for i, a := range picked {
+		r.entries[a].sends--
+		deltas[i] = r.entries[a].member
+	}
+	return deltas
+}
+
+// Live reports whether the member counts as here for control messages.
+func Live(m *Member) bool { return m.State < Suspect }
+
+// Peers returns up to n live balancers chosen at random, other than self.
+func (r *Roster) Peers(self netip.AddrPort, n int) []Member {
+	peers := r.Members(func(m *Member) bool {
+		return m.Role == Balancer && m.Addr != self && Live(m)
+	})
+	r.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	return peers[:min(n, len(peers))]
+}
+
+// ObserverCount is the number of balancers that observe a target.
+const ObserverCount = 2
+
+// Observers returns the n live balancers that observe the targets of a
+// service: the first by rendezvous hash, in different zones where there are.
+// The result is kept until the set of live balancers changes.
+func (r *Roster) Observers(service uint16, n int) []Member {
+	if r.chosen == nil || r.chosenAt != r.balancers {
+		r.chosen, r.chosenAt = make(map[uint16][]Member), r.balancers
+	}
+	if c, ok := r.chosen[service]; ok && len(c) <= n {
+		return c
+	}
+	c := r.choose(service, n)
+	r.chosen[service] = c
+	return c
+}
+
+func (r *Roster) choose(service uint16, n int) []Member {
+	all := r.Members(func(m *Member) bool { return m.Role == Balancer && Live(m) })
+	slices.SortFunc(all, func(a, b Member) int {
+		return cmp.Compare(observerScore(service, &b), observerScore(service, &a))
+	})
+	chosen := make([]Member, 0, n)
+	zones := make(map[string]bool)
+	for pass := range 2 {
+		for _, m := range all {
+			if len(chosen) == n {
+				return chosen
+			}
+			if fresh := !zones[m.Zone]; fresh == (pass == 0) && !contains(chosen, m.Addr) {
+				chosen = append(chosen, m)
+				zones[m.Zone] = true
+			}
+		}
+	}
+	return chosen
+}
+
+func contains(members []Member, a netip.AddrPort) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.Addr == a })
+}
+
+func observerScore(service uint16, m *Member) uint64 {
+	a4 := m.Addr.Addr().As4()
+	p := m.Addr.Port()
+	return xxh3.Hash([]byte{a4[0], a4[1], a4[2], a4[3], byte(p >> 8), byte(p), byte(service >> 8), byte(service)})
+}
--- /dev/null
+++ b/internal/service/catalog.go
@@ -0,0 +1,75 @@
+package service
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+)
+
+// Catalog holds the newest confirmed form of each service that a daemon knows.
+// Generations only rise. It is not safe for concurrent use.
+type Catalog struct {
+	services map[uint16]*Service
+	digest   uint64
+}
+
+// NewCatalog returns an empty catalog.
+func NewCatalog() *Catalog { return &Catalog{services: make(map[uint16]*Service)} }
+
+// Apply takes a confirmed service and reports whether it is newer than the one
+// known; an older one is ignored.
+func (c *Catalog) Apply(s Service) bool {
+	old := c.services[s.Number]
+	if old != nil && old.Generation >= s.Generation {
+		return false
+	}
+	if old != nil {
+		c.digest ^= generationHash(old)
+	}
+	c.services[s.Number] = &s
+	c.digest ^= generationHash(&s)
+	return true
+}
+
+// Digest returns a hash over the numbers and generations of all services.
+func (c *Catalog) Digest() uint64 { return c.digest }
+
+// Get returns the service with the number; the caller must not change it.
+func (c *Catalog) Get(number uint16) (*Service, bool) {
+	s, ok := c.services[number]
+	return s, ok
+}
+
+// ByName returns the service with the name; the caller must not change it.
+func (c *Catalog) ByName(name string) (*Service, bool) {
+	for _, s := range c.services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return nil, false
+}
+
+// Generation returns the generation of a service, 0 when it is not known.
+func (c *Catalog) Generation(number uint16) uint32 {
+	if s := c.services[number]; s != nil {
+		return s.Generation
+	}
+	return 0
+}
+
+// All returns the services by rising number; the caller must not change them.
+func (c *Catalog) All() []*Service {
+	all := make([]*Service, 0, len(c.services))
+	for _, s := range c.services {
+		all = append(all, s)
+	}
+	slices.SortFunc(all, func(a, b *Service) int { return cmp.Compare(a.Number, b.Number) })
+	return all
+}
+
+func generationHash(s *Service) uint64 {
+	g := s.Generation
+	return xxh3.Hash([]byte{byte(s.Number >> 8), byte(s.Number), byte(g >> 24), byte(g >> 16), byte(g >> 8), byte(g)})
+}
--- /dev/null
+++ b/internal/standin/deployment.go
@@ -0,0 +1,270 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"golang.org/x/sync/errgroup"
+
+	"skylarkturn/caller"
+	"skylarkturn/internal/agent"
+	"skylarkturn/internal/balancer"
+	"skylarkturn/internal/settings"
+)
+
+// ServiceOptions describe a service of a deployment.
+type ServiceOptions struct {
+	Tenant string
+	Name   string
+	Number uint16
+	Hosts  int
+	Slots  int
+	Work   time.Duration // time of a request in a slot
+}
+
+// Options describe a deployment.
+type Options struct {
+	Dir       string // for certificates and settings
+	Bin       string // directory of the built programs; empty runs daemons in this process
+	Seed      uint64
+	Zones     []string
+	Balancers int
+	Services  []ServiceOptions
+	Warmup    time.Duration // of agents; they start warm when zero
+	Linger    time.Duration // of agents, see agent.Settings
+	LogLevel  string
+	LogWriter *os.File // standard error of processes; nil discards it
+}
+
+// Deployment is a whole system with its surroundings on loopback.
+type Deployment struct {
+	opt       Options
+	Authority *Authority
+	Platform  *Platform
+	Fabric    *Fabric
+	Journal   *Journal
+	Feeds     map[string]*FeedLog // by service
+
+	group  *errgroup.Group
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu        sync.Mutex // guards what follows
+	hosts     map[string]*Host
+	agents    map[string]*Daemon
+	balancers map[string]*Daemon
+	number    int // of balancers ever started
+}
+
+// NewDeployment starts platform, fabric, hosts, agents and balancers.
+func NewDeployment(ctx context.Context, opt Options) (*Deployment, error) {
+	d := &Deployment{
+		opt:       opt,
+		Journal:   NewJournal(),
+		Feeds:     make(map[string]*FeedLog),
+		hosts:     make(map[string]*Host),
+		agents:    make(map[string]*Daemon),
+		balancers: make(map[string]*Daemon),
+	}
+	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	d.group, d.ctx = errgroup.WithContext(run)
+	d.cancel = cancel
+	if err := d.start(); err != nil {
+		return nil, errors.Join(err, d.Close())
+	}
+	return d, nil
+}
+
+func (d *Deployment) start() (err error) {
+	if d.Authority, err = NewAuthority(d.opt.Dir); err != nil {
+		return err
+	}
+	if d.Platform, err = NewPlatform(); err != nil {
+		return err
+	}
+	var names []string
+	for _, s := range d.opt.Services {
+		names = append(names, s.Name)
+		d.Feeds[s.Name] = NewFeedLog()
+	}
+	if d.Fabric, err = NewFabric(d.opt.Seed, names...); err != nil {
+		return err
+	}
+	d.group.Go(func() error { return d.Platform.Run(d.ctx) })
+	d.group.Go(func() error { return d.Fabric.Run(d.ctx) })
+	for range d.opt.Balancers {
+		if _, err := d.AddBalancer(); err != nil {
+			return err
+		}
+	}
+	for _, s := range d.opt.Services {
+		for i := range s.Hosts {
+			if _, err := d.AddTarget(s, i+1); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// Close ends everything.
+func (d *Deployment) Close() error {
+	var errs []error
+	for _, m := range d.daemons() {
+		errs = append(errs, m.Kill())
+	}
+	d.cancel()
+	errs = append(errs, d.group.Wait())
+	return errors.Join(errs...)
+}
+
+func (d *Deployment) daemons() []*Daemon {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var all []*Daemon
+	for _, m := range d.agents {
+		all = append(all, m)
+	}
+	for _, m := range d.balancers {
+		all = append(all, m)
+	}
+	return all
+}
+
+func (d *Deployment) zone(i int) string { return d.opt.Zones[i%len(d.opt.Zones)] }
+
+// AddBalancer starts another balancer and has the fabric use it.
+func (d *Deployment) AddBalancer() (*Daemon, error) {
+	d.mu.Lock()
+	d.number++
+	n := d.number
+	d.mu.Unlock()
+	cfg := balancer.Settings{
+		Name:        fmt.Sprintf("balancer-%d", n),
+		Zone:        d.zone(n),
+		Inner:       "127.0.0.1:0",
+		Admin:       "127.0.0.1:0",
+		Ops:         "127.0.0.1:0",
+		Entry:       d.Fabric.Entry(),
+		Platform:    d.Platform.URL(),
+		Credentials: d.Authority.Files(),
+		Log:         settings.Log{Level: d.opt.LogLevel},
+	}
+	for _, s := range d.opt.Services {
+		cfg.Listen = append(cfg.Listen, balancer.Listen{Service: s.Name, Number: s.Number, Address: "127.0.0.1:0"})
+	}
+	m, err := d.startBalancer(cfg)
+	if err != nil {
+		return nil, err
+	}
+	b, err := m.backend(cfg)
+	if err != nil {
+		return nil, err
+	}
+	d.Fabric.Add(b)
+	d.mu.Lock()
+	d.balancers[cfg.Name] = m
+	d.mu.Unlock()
+	return m, nil
+}
+
+// AddTarget starts the i-th host of a service and its agent.
+func (d *Deployment) AddTarget(s ServiceOptions, i int) (*Daemon, error) {
+	name := fmt.Sprintf("%s-%d", s.Name, i)
+	h, err := NewHost(HostOptions{
+		Name: name, Service: s.Name, Slots: s.Slots, Work: s.Work, Journal: d.Journal, Feed: d.Feeds[s.Name],
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.group.Go(func() error { return h.Run(d.ctx) })
+	d.mu.Lock()
+	d.hosts[name] = h
+	d.mu.Unlock()
+	return d.StartAgent(s, name, d.zone(i))
+}
+
+// StartAgent starts the agent of a host that is there.
+func (d *Deployment) StartAgent(s ServiceOptions, name, zone string) (*Daemon, error) {
+	warmup := d.opt.Warmup
+	if warmup == 0 {
+		warmup = time.Millisecond
+	}
+	cfg := agent.Settings{
+		Name:        name,
+		Host:        "vm-" + name,
+		Zone:        zone,
+		Tenant:      s.Tenant,
+		Service:     s.Name,
+		Number:      s.Number,
+		Inner:       "127.0.0.1:0",
+		Ops:         "127.0.0.1:0",
+		Entry:       d.Fabric.Entry(),
+		HostURL:     d.Host(name).URL(),
+		Slots:       s.Slots,
+		Warmup:      settings.Duration(warmup),
+		Linger:      settings.Duration(d.opt.Linger),
+		Credentials: d.Authority.Files(),
+		Log:         settings.Log{Level: d.opt.LogLevel},
+	}
+	m, err := d.startAgent(cfg)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	d.agents[name] = m
+	d.mu.Unlock()
+	return m, nil
+}
+
+// Host returns the host with the name.
+func (d *Deployment) Host(name string) *Host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.hosts[name]
+}
+
+// Agent returns the agent that was started last for a target.
+func (d *Deployment) Agent(name string) *Daemon {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.agents[name]
+}
+
+// Balancers returns the balancers that run, by name.
+func (d *Deployment) Balancers() map[string]*Daemon {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	running := make(map[string]*Daemon)
+	for name, m := range d.balancers {
+		if m.Running() {
+			running[name] = m
+		}
+	}
+	return running
+}
+
+// Dial opens a caller's session with a service.
+func (d *Deployment) Dial(ctx context.Context, service string, opts ...caller.Option) (*caller.Session, error) {
+	opts = append([]caller.Option{caller.WithTLS(d.Authority.CallerTLS())}, opts...)
+	return caller.Dial(ctx, d.Fabric.Address(service), opts...)
+}
+
+func (d *Deployment) settingsFile(name string, cfg any) (string, error) {
+	var buf bytes.Buffer
+	if err := toml.NewEncoder(&buf).Encode(cfg); err != nil {
+		return "", &Error{"settings", KindFiles, err}
+	}
+	path := filepath.Join(d.opt.Dir, name+".toml")
+	if err := os.WriteFile(path, buf.Bytes(), 0o600); err != nil {
+		return "", &Error{"settings", KindFiles, err}
+	}
+	return path, nil
+}
--- /dev/null
+++ b/internal/standin/host.go
@@ -0,0 +1,237 @@
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"skylarkturn/internal/ops"
+)
+
+// Run is one execution of a request that is not idempotent.
+type Run struct {
+	Key  string
+	Host string
+	Body string
+}
+
+// Journal records what hosts ran; the hosts of a tenant share one.
+type Journal struct {
+	mu   sync.Mutex
+	runs map[string][]Run // by key
+}
+
+// NewJournal returns an empty journal.
+func NewJournal() *Journal { return &Journal{runs: make(map[string][]Run)} }
+
+func (j *Journal) add(r Run) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.runs[r.Key] = append(j.runs[r.Key], r)
+}
+
+// ByBody returns how often each request body was run.
+func (j *Journal) ByBody() map[string]int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	counts := make(map[string]int)
+	for _, runs := range j.runs {
+		for _, r := range runs {
+			counts[r.Body]++
+		}
+	}
+	return counts
+}
+
+// FeedLog is the sequence of events that all hosts of a service stream.
+type FeedLog struct {
+	mu      sync.Mutex
+	n       int
+	changed chan struct{}
+}
+
+// NewFeedLog returns an empty log.
+func NewFeedLog() *FeedLog { return &FeedLog{changed: make(chan struct{})} }
+
+// Append adds the next event and returns its number, from 1.
+func (l *FeedLog) Append() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.n++
+	close(l.changed)
+	l.changed = make(chan struct{})
+	return l.n
+}
+
+// Len returns the number of events.
+func (l *FeedLog) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.n
+}
+
+func (l *FeedLog) state() (int, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.n, l.changed
+}
+
+// HostOptions describe a host.
+type HostOptions struct {
+	Name    string
+	Service string // named in every answer
+	Slots   int
+	Work    time.Duration // time of a request in a slot
+	Journal *Journal
+	Feed    *FeedLog
+}
+
+// Host stands in for a target's own program.
+type Host struct {
+	opt    HostOptions
+	ln     net.Listener
+	slots  chan struct{}
+	slow   atomic.Int64 // factor in percent
+	worked atomic.Int64
+	lying  atomic.Bool // says unhealthy while it works
+}
+
+// NewHost opens a host on loopback.
+func NewHost(opt HostOptions) (*Host, error) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, &Error{"host", KindStart, err}
+	}
+	h := &Host{opt: opt, ln: ln, slots: make(chan struct{}, opt.Slots)}
+	h.slow.Store(100)
+	return h, nil
+}
+
+// URL returns the base URL of the host.
+func (h *Host) URL() string { return "http://" + h.ln.Addr().String() }
+
+// Name returns the name of the host.
+func (h *Host) Name() string { return h.opt.Name }
+
+// Worked returns the number of requests that the host has run.
+func (h *Host) Worked() int64 { return h.worked.Load() }
+
+// SetSpeed sets the speed in percent.
+func (h *Host) SetSpeed(percent int) { h.slow.Store(100 * 100 / int64(max(1, percent))) }
+
+// Run serves until ctx is done.
+func (h *Host) Run(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if h.lying.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /feed", h.feed)
+	mux.HandleFunc("GET /sheets/{name}", h.sheet)
+	mux.HandleFunc("POST /{what}", h.once)
+	return ops.Serve(ctx, h.ln, mux)
+}
+
+// Takes a slot for the time of one request and calls begun once it has one; false
+// when all slots are taken or the caller went away in the middle.
+func (h *Host) work(w http.ResponseWriter, r *http.Request, begun func()) bool {
+	select {
+	case h.slots <- struct{}{}:
+	default:
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "all slots are taken", http.StatusServiceUnavailable)
+		return false
+	}
+	defer func() { <-h.slots }()
+	begun()
+	t := time.NewTimer(h.opt.Work * time.Duration(h.slow.Load()) / 100)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		h.worked.Add(1)
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
+
+// HostAnswer is the answer to a request that is not idempotent.
+type HostAnswer struct {
+	Service string `json:"service"`
+	Host    string `json:"host"`
+	Key     string `json:"key"`
+	Body    string `json:"body"`
+}
+
+func (h *Host) once(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, "body broke off", http.StatusBadRequest)
+		return
+	}
+	key := r.Header.Get("Skylark-Key")
+	if !h.work(w, r, func() { h.opt.Journal.add(Run{key, h.opt.Name, string(body)}) }) {
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(HostAnswer{h.opt.Service, h.opt.Name, key, string(body)}) // the journal has it
+}
+
+// SheetSize is the size in bytes of a sheet.
+const SheetSize = 20_000
+
+// Sheet returns the content of the sheet of a service with the name.
+func Sheet(service, name string) []byte {
+	sum := sha256.Sum256([]byte(service + "/" + name))
+	line := hex.EncodeToString(sum[:]) + "\n"
+	b := make([]byte, 0, SheetSize+len(line))
+	for len(b) < SheetSize {
+		b = append(b, line...)
+	}
+	return b[:SheetSize]
+}
+
+func (h *Host) sheet(w http.ResponseWriter, r *http.Request) {
+	if !h.work(w, r, func() {}) {
+		return
+	}
+	b := Sheet(h.opt.Service, r.PathValue("name"))
+	w.Header().Set("Content-Type", "text/plain")
+	w.Header().Set("Content-Length", strconv.Itoa(len(b)))
+	_, _ = w.Write(b) // the caller is gone
+}
+
+func (h *Host) feed(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	flusher := w.(http.Flusher)
+	n, changed := h.opt.Feed.state()
+	last, err := strconv.Atoi(r.Header.Get("Last-Event-ID"))
+	if err != nil {
+		last = n
+	}
+	flusher.Flush()
+	for {
+		for ; last < n; last++ {
+			if _, err := fmt.Fprintf(w, "id: %d\nevent: change\ndata: %s event %d\n\n", last+1, h.opt.Service, last+1); err != nil {
+				return
+			}
+		}
+		flusher.Flush()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+		n, changed = h.opt.Feed.state()
+	}
+}
