Keep flows and requests through kills, freezes, drains and outages

Causes found by tests with real processes, and the changes: - Two targets with stale views of each other's load handed a first datagram back and forth without end. Only the first target now hands on for load; a target that isn't ready hands on at most three times. - An agent without configuration took a feed for a request, which held a slot for good. A target is ready only once it knows its service's configuration. - A planned stop hung: the QUIC transport wakes its reader through the read deadline, which a waiting ReadFrom did not see. - A bound agent that was killed left its requests asking until their deadline. A refused connection now counts as the end of that process.

Ruled out for the stall: QUIC handshakes themselves (4 to 31 ms each when not handed in a ring).

--- a/internal/agent/conn.go
+++ b/internal/agent/conn.go
@@ -15,6 +15,7 @@
 	"skylarkturn/internal/control"
 	"skylarkturn/internal/flow"
 	"skylarkturn/internal/link"
+	"skylarkturn/internal/target"
 )
 
 const (
@@ -22,14 +23,12 @@
 	viaMemory       = 3 * time.Minute        // for which a silent caller's balancer is remembered
 	viaFresh        = 500 * time.Millisecond // silence of a caller after which answers take turns over balancers
 	balancerFresh   = 2 * time.Second        // silence of a balancer after which no turn goes to it
-	maxHops         = 3
 	inboundQueue    = 4096
 )
 
-// admitter decides whether a first datagram is taken; else it names the agent
-// that it is handed on to. With neither it is dropped.
+// admitter decides on first datagrams.
 type admitter interface {
-	admit(key uint64, hops uint8) (take bool, next netip.AddrPort)
+	admit(key uint64, hops uint8) target.Decision
 }
 
 type via struct {
@@ -72,6 +71,7 @@
 	balancers  map[netip.AddrPort]time.Time
 	handshakes map[uint64]handshake
 	deadline   time.Time
+	changed    chan struct{} // closed when deadline changes
 }
 
 func newConn(udp *net.UDPConn) *conn {
@@ -83,6 +83,7 @@
 		vias:       make(map[netip.AddrPort]via),
 		balancers:  make(map[netip.AddrPort]time.Time),
 		handshakes: make(map[uint64]handshake),
+		changed:    make(chan struct{}),
 	}
 }
 
@@ -166,13 +167,14 @@
 	c.mu.Lock()
 	known, ok := c.handshakes[key]
 	c.mu.Unlock()
-	if !ok || now.After(known.until) {
-		take, next := c.admitter.admit(key, f.Hops)
-		if !take && !next.IsValid() {
+	looping := known.next.IsValid() && f.Hops >= target.MaxHops
+	if !ok || looping || now.After(known.until) {
+		d := c.admitter.admit(key, f.Hops)
+		if !d.Take && !d.Next.IsValid() {
 			c.counters.refusedFlows.Inc()
 			return false
 		}
-		known = handshake{next, now.Add(handshakeMemory)}
+		known = handshake{d.Next, now.Add(handshakeMemory)}
 		c.mu.Lock()
 		c.handshakes[key] = known
 		c.mu.Unlock()
@@ -254,9 +256,19 @@
 
 // ReadFrom returns the next datagram and its caller.
 func (c *conn) ReadFrom(p []byte) (int, net.Addr, error) {
-	c.mu.Lock()
-	deadline := c.deadline
-	c.mu.Unlock()
+	for {
+		c.mu.Lock()
+		deadline, changed := c.deadline, c.changed
+		c.mu.Unlock()
+		n, from, again, err := c.readUntil(p, deadline, changed)
+		if !again {
+			return n, from, err
+		}
+	}
+}
+
+// Reads until the deadline; again tells that the deadline has changed.
+func (c *conn) readUntil(p []byte, deadline time.Time, changed <-chan struct{}) (n int, from net.Addr, again bool, err error) {
 	var timeout <-chan time.Time
 	if !deadline.IsZero() {
 		t := time.NewTimer(time.Until(deadline))
@@ -265,11 +277,13 @@
 	}
 	select {
 	case in := <-c.inbound:
-		return copy(p, in.data), &in.caller, nil
+		return copy(p, in.data), &in.caller, false, nil
 	case <-timeout:
-		return 0, nil, &net.OpError{Op: "read", Net: "skylark", Err: context.DeadlineExceeded}
+		return 0, nil, false, &net.OpError{Op: "read", Net: "skylark", Err: context.DeadlineExceeded}
+	case <-changed:
+		return 0, nil, true, nil
 	case <-c.closed:
-		return 0, nil, net.ErrClosed
+		return 0, nil, false, net.ErrClosed
 	}
 }
 
@@ -315,11 +329,13 @@
 // SetDeadline sets the read deadline; writes never wait.
 func (c *conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
 
-// SetReadDeadline sets the time at which a later ReadFrom gives up.
+// SetReadDeadline sets the time at which ReadFrom gives up, also one that waits.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
+	close(c.changed)
+	c.changed = make(chan struct{})
 	return nil
 }
 
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -74,7 +74,7 @@
 func (a *Agent) refresh(now time.Time) bool {
 	if s, ok := a.catalog.Get(a.cfg.Number); ok {
 		_, drain := s.Intent.Share(a.cfg.Name, a.cfg.Host, a.cfg.Zone)
-		a.target.Drain(drain)
+		a.target.Follow(drain)
 	}
 	state, warmth := a.target.State(now), a.target.Warmth(now)
 	a.leaving.set(a.target.Leaving())
@@ -256,23 +256,17 @@
 	return service.Service{Name: a.cfg.Service, Tenant: a.cfg.Tenant, Number: a.cfg.Number}
 }
 
-// Decides whether a first datagram is taken here or handed on.
-func (a *Agent) admit(key uint64, hops uint8) (take bool, next netip.AddrPort) {
+// Decides whether a first datagram is taken here or handed on. A flow handed on
+// counts at once as the other target's, before its next heartbeat says so.
+func (a *Agent) admit(key uint64, hops uint8) target.Decision {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	self, others := a.rivals()
-	ready := a.me.State == roster.Ready
-	if ready && (hops >= maxHops || !target.Overloaded(self, others, a.cfg.Overload)) {
-		return true, netip.AddrPort{}
+	d := target.Decide(self, others, a.me.State == roster.Ready, key, hops, a.cfg.Overload)
+	if d.Next.IsValid() {
+		a.loads[d.Next]++
 	}
-	if hops >= maxHops {
-		return false, netip.AddrPort{}
-	}
-	next, ok := target.Next(key, others)
-	if !ok {
-		return ready, netip.AddrPort{}
-	}
-	return false, next
+	return d
 }
 
 // Returns the targets as placement sees them; called with mu held.
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"skylarkturn/internal/ops"
+	"skylarkturn/internal/peer"
 	"skylarkturn/internal/request"
 	"skylarkturn/internal/service"
 	"skylarkturn/internal/session"
@@ -272,14 +273,16 @@
 
 // Asks the incarnation that the request is bound to what became of it.
 func (a *Agent) resolveElsewhere(x *exchange, b request.Binding) {
-	if b.Agent == a.conn.self {
-		a.answerGone(x) // an earlier incarnation here
+	if b.Agent == a.conn.self || a.ended(b) {
+		a.answerGone(x)
 		return
 	}
 	ctx, cancel := context.WithTimeout(x.ctx, resolveTimeout)
 	defer cancel()
 	res, err := a.peers.Resolve(ctx, x.key, b)
 	switch {
+	case peer.IsRefused(err):
+		a.answerGone(x)
 	case err != nil:
 		a.problem(x, problem{status: http.StatusServiceUnavailable, title: "bound_agent_silent", detail: "the agent that may have run the request does not answer", outcome: request.OutcomeUnknown, retryAfter: time.Second})
 	case !res.Known:
@@ -289,6 +292,15 @@
 	}
 }
 
+// Reports whether the incarnation that a request is bound to is known for
+// certain to have ended.
+func (a *Agent) ended(b request.Binding) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	m, ok := a.members.Get(b.Agent)
+	return ok && (m.Incarnation > b.Incarnation || m.Incarnation == b.Incarnation && m.State.Certain())
+}
+
 func (a *Agent) answerGone(x *exchange) {
 	a.problem(x, problem{status: http.StatusBadGateway, title: "bound_agent_gone", detail: "the agent that may have run the request has ended", outcome: request.OutcomeUnknown, final: true})
 }
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -56,7 +56,8 @@
 	spread  map[uint16]int // generations to gossip: transmissions left by service
 	checked time.Time      // when the catalog was last known to be the platform's
 	built   uint64         // version of members that the table was built from
-	stale   bool           // the catalog or the keys changed since
+	rebuilt time.Time
+	stale   bool // the catalog or the keys changed since
 	pulls   chan pull
 }
 
--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -17,7 +17,8 @@
 	probeEvery            = 5 // ticks
 	introduceEvery        = 5 // ticks between attempts to find a first peer
 	reintroduceEvery      = 50
-	repairMessages        = 4 // messages that answer one repair
+	repairMessages        = 4                     // messages that answer one repair
+	rebuildEvery          = 50 * time.Millisecond // at the most, outside of ticks
 )
 
 // Drives what depends on time.
@@ -171,6 +172,9 @@
 	case control.Repair:
 		out = b.repair(now, m)
 	}
+	if now.Sub(b.rebuilt) > rebuildEvery {
+		b.rebuild()
+	}
 	b.mu.Unlock()
 	for _, o := range out {
 		b.send(o.to, o.message)
@@ -301,7 +305,7 @@
 	if b.built == b.members.Version() && !b.stale {
 		return
 	}
-	b.built, b.stale = b.members.Version(), false
+	b.built, b.stale, b.rebuilt = b.members.Version(), false, time.Now()
 	services := make(map[uint16][]flow.Candidate)
 	suspects := make(map[uint16][]flow.Candidate)
 	current := make(map[netip.AddrPort]uint32)
--- a/internal/balancer/operators.go
+++ b/internal/balancer/operators.go
@@ -143,6 +143,7 @@
 	Name          string `json:"name"`
 	Balancers     int    `json:"balancers"`
 	Agents        int    `json:"agents"`
+	Ready         int    `json:"ready"` // agents that take new flows
 	Services      int    `json:"services"`
 	ConfigCurrent bool   `json:"config_current"` // known to be the platform's within the last minute
 	ConfigDigest  string `json:"config_digest"`
@@ -163,6 +164,9 @@
 			v.Balancers++
 		} else {
 			v.Agents++
+			if m.State == roster.Ready {
+				v.Ready++
+			}
 		}
 	}
 	b.mu.Unlock()
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/encoding"
 	"google.golang.org/grpc/keepalive"
@@ -21,8 +24,18 @@
 	"skylarkturn/internal/service"
 )
 
-// KindCall is the kind of errors of calls.
-const KindCall = "call"
+// Kinds of errors of calls.
+const (
+	KindCall    = "call"
+	KindRefused = "refused" // no process listens at the address any more
+)
+
+// IsRefused reports whether a call found no process at the address: a process
+// that is frozen or cut off does not refuse.
+func IsRefused(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == KindRefused
+}
 
 // Error reports the call that failed and why.
 type Error struct {
@@ -44,6 +57,9 @@
 	maxReceive  = 64 << 20 // bytes, a whole configuration
 )
 
+// Reconnects soon: daemons come back within seconds.
+var reconnect = backoff.Config{BaseDelay: 100 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}
+
 type codec struct{}
 
 func (codec) Marshal(v any) ([]byte, error)      { return cbor.Marshal(v) }
@@ -158,13 +174,14 @@
 type Client struct {
 	creds *credential.Store
 
-	mu    sync.Mutex
-	conns map[netip.AddrPort]*grpc.ClientConn
+	mu       sync.Mutex // guards what follows
+	conns    map[netip.AddrPort]*grpc.ClientConn
+	refusals map[netip.AddrPort]bool // addresses that refused the last connection
 }
 
 // NewClient returns a client that shows and checks certificates from creds.
 func NewClient(creds *credential.Store) *Client {
-	return &Client{creds: creds, conns: make(map[netip.AddrPort]*grpc.ClientConn)}
+	return &Client{creds: creds, conns: make(map[netip.AddrPort]*grpc.ClientConn), refusals: make(map[netip.AddrPort]bool)}
 }
 
 // Close closes all connections.
@@ -204,10 +221,38 @@
 	if err != nil {
 		return &Error{method, KindCall, err}
 	}
-	if err := conn.Invoke(ctx, "/"+serviceName+"/"+method, q, p); err != nil {
-		return &Error{method, KindCall, err}
+	err = conn.Invoke(ctx, "/"+serviceName+"/"+method, q, p)
+	if err == nil {
+		return nil
 	}
-	return nil
+	if refused := c.refused(a); refused {
+		return &Error{method, KindRefused, err}
+	}
+	return &Error{method, KindCall, err}
+}
+
+// Reports whether the last attempt to connect to a was refused.
+func (c *Client) refused(a netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusals[a]
+}
+
+// Connects and notes whether the connection was refused.
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	a, perr := netip.ParseAddrPort(address)
+	if perr != nil {
+		return conn, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.refusals[a] = true
+	} else {
+		delete(c.refusals, a)
+	}
+	return conn, err
 }
 
 func (c *Client) conn(a netip.AddrPort) (*grpc.ClientConn, error) {
@@ -220,6 +265,8 @@
 		grpc.WithTransportCredentials(credentials.NewTLS(c.creds.Client())),
 		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{}), grpc.MaxCallRecvMsgSize(maxReceive)),
 		grpc.WithIdleTimeout(maxIdle),
+		grpc.WithContextDialer(c.dial),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnect}),
 	)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/standin/quantile.go
@@ -0,0 +1,16 @@
+package standin
+
+import (
+	"slices"
+	"time"
+)
+
+// Returns a quantile of durations in milliseconds.
+func quantile(d []time.Duration, q float64) float64 {
+	if len(d) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(d))
+	i := min(int(q*float64(len(sorted))), len(sorted)-1)
+	return float64(sorted[i].Microseconds()) / 1000
+}
--- /dev/null
+++ b/internal/standin/settle.go
@@ -0,0 +1,126 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"skylarkturn/internal/service"
+)
+
+const settlePoll = 20 * time.Millisecond
+
+type balancerHealth struct {
+	Balancers    int    `json:"balancers"`
+	Ready        int    `json:"ready"`
+	Services     int    `json:"services"`
+	ConfigDigest string `json:"config_digest"`
+}
+
+// health reads the health endpoint of a balancer.
+func (m *Daemon) health(ctx context.Context) (balancerHealth, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var h balancerHealth
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Ops+"/healthz", nil)
+	if err != nil {
+		return h, &Error{"health", KindProcess, err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return h, &Error{"health", KindProcess, err}
+	}
+	defer resp.Body.Close()
+	if err := json.NewDecoder(resp.Body).Decode(&h); err != nil {
+		return h, &Error{"health", KindProcess, err}
+	}
+	return h, nil
+}
+
+// Settle waits until every balancer counts the given numbers of live balancers
+// and agents that take new flows, and all have the same configuration.
+func (d *Deployment) Settle(ctx context.Context, balancers, agents, services int) error {
+	var last string
+	for {
+		if last = d.unsettled(ctx, balancers, agents, services); last == "" {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return &Error{"settle", KindProcess, fmt.Errorf("%w: %s", ctx.Err(), last)}
+		case <-time.After(settlePoll):
+		}
+	}
+}
+
+func (d *Deployment) unsettled(ctx context.Context, balancers, agents, services int) string {
+	digest := ""
+	for name, m := range d.Balancers() {
+		h, err := m.health(ctx)
+		if err != nil {
+			return name + ": " + err.Error()
+		}
+		if digest == "" {
+			digest = h.ConfigDigest
+		}
+		if h.Balancers != balancers || h.Ready != agents || h.Services != services || h.ConfigDigest != digest {
+			return fmt.Sprintf("%s: %+v", name, h)
+		}
+	}
+	return ""
+}
+
+// DeclareAll declares every service of the deployment and waits until the
+// configuration is in force on every balancer.
+func (d *Deployment) DeclareAll(ctx context.Context, o *Operator) error {
+	agents := 0
+	for _, s := range d.opt.Services {
+		if err := d.Apply(ctx, o, d.Declaration(s)); err != nil {
+			return err
+		}
+		agents += s.Hosts
+	}
+	return d.Settle(ctx, d.opt.Balancers, agents, len(d.opt.Services))
+}
+
+// Apply has a draft planned and confirms the plan.
+func (d *Deployment) Apply(ctx context.Context, o *Operator, draft service.Service) error {
+	for _, b := range d.Balancers() {
+		p, err := o.Plan(ctx, b, draft)
+		if err != nil {
+			return err
+		}
+		_, err = o.Confirm(ctx, b, p)
+		return err
+	}
+	return &Error{"apply", KindProcess, errNoBalancer}
+}
+
+var errNoBalancer = fmt.Errorf("no balancer runs")
+
+// Operator returns a client with the system operator's certificate.
+func (d *Deployment) Operator() (*Operator, error) { return d.Authority.OperatorClient("operator") }
+
+// Current reads the confirmed form of a service at any balancer.
+func (d *Deployment) Current(ctx context.Context, o *Operator, name string) (service.Service, error) {
+	var s service.Service
+	for _, b := range d.Balancers() {
+		return s, o.Get(ctx, b, "/v1/services/"+name, &s)
+	}
+	return s, &Error{"current", KindProcess, errNoBalancer}
+}
+
+// Drain confirms an intent that drains a target, or takes it in again.
+func (d *Deployment) Drain(ctx context.Context, o *Operator, name, target string, drain bool) error {
+	s, err := d.Current(ctx, o, name)
+	if err != nil {
+		return err
+	}
+	s.Intent = service.Intent{}
+	if drain {
+		s.Intent.Rules = []service.Rule{{Target: target, Drain: true}}
+	}
+	return d.Apply(ctx, o, s)
+}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -22,6 +22,7 @@
 	warmup   time.Duration
 	stopping bool
 	drained  bool // by intent
+	declared bool // whether the service's configuration is known
 	failures int
 	answered time.Time // last answer of a balancer
 	known    bool      // whether a balancer has ever answered
@@ -35,8 +36,9 @@
 // Stop begins a planned stop.
 func (t *Target) Stop() { t.stopping = true }
 
-// Drain follows the intent.
-func (t *Target) Drain(drained bool) { t.drained = drained }
+// Follow follows the intent of the service's configuration, which is known from
+// then on.
+func (t *Target) Follow(drained bool) { t.declared, t.drained = true, drained }
 
 // HostFailed counts a failure to reach the host.
 func (t *Target) HostFailed() { t.failures++ }
@@ -57,12 +59,13 @@
 // Leaving reports whether the target takes no new work for good or for now.
 func (t *Target) Leaving() bool { return t.stopping || t.drained }
 
-// State returns the state to announce.
+// State returns the state to announce. Without the service's configuration the
+// target can't tell a feed from a request, nor whether it is to drain.
 func (t *Target) State(now time.Time) roster.State {
 	switch {
 	case t.Leaving():
 		return roster.Draining
-	case t.HostDown() || t.CutOff(now):
+	case !t.declared || t.HostDown() || t.CutOff(now):
 		return roster.Starting
 	}
 	return roster.Ready
@@ -108,9 +111,36 @@
 	return float64(self.Sessions)+1 > fair*(1+e)+slack
 }
 
-// Next chooses the target that a first datagram is handed to: the less loaded,
+// MaxHops is the number of times that a first datagram is handed on.
+const MaxHops = 3
+
+// Decision is what a target does with a first datagram: take it, hand it on to
+// Next, or, with neither, drop it.
+type Decision struct {
+	Take bool
+	Next netip.AddrPort
+}
+
+// Decide decides on a first datagram that was handed on hops times. Only the
+// first target hands on for its load: the views of two overloaded targets may
+// each name the other. A target that is not ready hands on whatever comes.
+func Decide(self Rival, others []Rival, ready bool, key uint64, hops uint8, e float64) Decision {
+	if ready && (hops > 0 || !Overloaded(self, others, e)) {
+		return Decision{Take: true}
+	}
+	if hops >= MaxHops {
+		return Decision{}
+	}
+	next, ok := next(key, others)
+	if !ok {
+		return Decision{Take: ready}
+	}
+	return Decision{Next: next}
+}
+
+// Chooses the target that a first datagram is handed to: the less loaded,
 // by its share, of the two that rank highest for the key.
-func Next(key uint64, others []Rival) (netip.AddrPort, bool) {
+func next(key uint64, others []Rival) (netip.AddrPort, bool) {
 	candidates := make([]flow.Candidate, 0, len(others))
 	loads := make(map[netip.AddrPort]float64, len(others))
 	for _, r := range others {
--- /dev/null
+++ b/internal/target/target_test.go
@@ -0,0 +1,110 @@
+package target
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-quicktest/qt"
+
+	"skylarkturn/internal/roster"
+)
+
+func agentAddr(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7000)
+}
+
+// Follows a first datagram from target to target, each with its own view of the
+// sessions of the others.
+func follow(views [][]uint32, ready []bool, key uint64, start int) (taker, hops int) {
+	at := start
+	for hops := uint8(0); hops < 10; hops++ {
+		var self Rival
+		var others []Rival
+		for i, n := range views[at] {
+			r := Rival{agentAddr(i), 1, n}
+			if i == at {
+				self = r
+			} else if ready[i] {
+				others = append(others, r)
+			}
+		}
+		d := Decide(self, others, ready[at], key, hops, 0.02)
+		if d.Take {
+			return at, int(hops)
+		}
+		if !d.Next.IsValid() {
+			return -1, int(hops)
+		}
+		at = int(d.Next.Addr().As4()[3])
+	}
+	return -1, 10
+}
+
+// Two targets that each believe the other to be idle handed a flow back and
+// forth without end, and the handshake timed out.
+func TestHandOnEndsWhenViewsContradict(t *testing.T) {
+	views := [][]uint32{{20, 8, 8}, {8, 20, 8}, {8, 8, 20}}
+	ready := []bool{true, true, true}
+	for key := range uint64(1000) {
+		taker, hops := follow(views, ready, key, int(key%3))
+		qt.Assert(t, qt.IsTrue(taker >= 0))
+		qt.Assert(t, qt.IsTrue(hops <= 1))
+	}
+}
+
+func TestLeavingTargetHandsOn(t *testing.T) {
+	views := [][]uint32{{5, 5, 5}, {5, 5, 5}, {5, 5, 5}}
+	for key := range uint64(1000) {
+		taker, _ := follow(views, []bool{false, true, true}, key, 0)
+		qt.Assert(t, qt.IsTrue(taker > 0))
+	}
+	taker, _ := follow(views, []bool{false, false, false}, 1, 0)
+	qt.Check(t, qt.Equals(taker, -1))
+}
+
+func TestOverloaded(t *testing.T) {
+	for _, c := range []struct {
+		self, other uint32
+		want        bool
+	}{
+		{0, 0, false},
+		{1, 0, false},
+		{10, 10, false},
+		{520, 500, false},
+		{540, 500, true},
+	} {
+		t.Run(fmt.Sprint(c.self, "/", c.other), func(t *testing.T) {
+			got := Overloaded(Rival{agentAddr(1), 1, c.self}, []Rival{{agentAddr(2), 1, c.other}}, 0.02)
+			qt.Check(t, qt.Equals(got, c.want))
+		})
+	}
+}
+
+func TestStateAndWarmth(t *testing.T) {
+	now := time.Unix(1000, 0)
+	tg := New(now, 10*time.Second)
+	qt.Check(t, qt.Equals(tg.State(now), roster.Starting)) // a feed taken without configuration held a slot
+	tg.Follow(false)
+	qt.Check(t, qt.Equals(tg.State(now), roster.Ready))
+	qt.Check(t, qt.Equals(tg.Warmth(now), uint8(20)))
+	qt.Check(t, qt.Equals(tg.Warmth(now.Add(9*time.Second)), uint8(80)))
+	qt.Check(t, qt.Equals(tg.Warmth(now.Add(10*time.Second)), uint8(100)))
+
+	for range failuresDown {
+		tg.HostFailed()
+	}
+	qt.Check(t, qt.Equals(tg.State(now), roster.Starting))
+	tg.HostAnswered()
+	qt.Check(t, qt.Equals(tg.State(now), roster.Ready))
+
+	tg.Answered(now)
+	qt.Check(t, qt.Equals(tg.State(now.Add(alonePeriod+1)), roster.Starting))
+	tg.Follow(true)
+	qt.Check(t, qt.Equals(tg.State(now), roster.Draining))
+	tg.Follow(false)
+	tg.Answered(now)
+	tg.Stop()
+	qt.Check(t, qt.Equals(tg.State(now), roster.Draining))
+}
