Add the operators' tool and tests of racing and lost confirmations

Cause: plans could be made and confirmed, but nothing tried to break them. Change: skylarkctl with documented exit codes, a client package shared with the stand-in, and tests with real processes: two operators racing, an answer lost after its write took effect, a platform outage, a balancer frozen across two confirmations, tenants kept apart, altered plans.

One failure on the way was the test's own: it made the second plan after the first was confirmed, so both rightly went through.

--- /dev/null
+++ b/cmd/skylarkctl/commands.go
@@ -0,0 +1,300 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"skylarkturn/internal/admin"
+	"skylarkturn/internal/plan"
+	"skylarkturn/internal/service"
+	"skylarkturn/internal/settings"
+)
+
+var (
+	errUsage      = errors.New("usage")
+	errNotInForce = errors.New("not in force on every balancer")
+)
+
+const statusPoll = 200 * time.Millisecond
+
+func printJSON(v any) error {
+	e := json.NewEncoder(os.Stdout)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// Prints rows under headings, columns aligned.
+func printTable(headings string, rows func(w io.Writer)) error {
+	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, headings)
+	rows(w)
+	return w.Flush()
+}
+
+type servicesCmd struct{}
+
+// Run lists the services.
+func (*servicesCmd) Run(e *env) error {
+	services, err := e.client.Services(e.ctx)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return printJSON(services)
+	}
+	return printTable("TENANT\tSERVICE\tNUMBER\tGENERATION\tADDRESSES", func(w io.Writer) {
+		for _, s := range services {
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%v\n", s.Tenant, s.Name, s.Number, s.Generation, s.Addresses)
+		}
+	})
+}
+
+// planOutput tells what to do with a plan.
+type planOutput struct {
+	Out     string `help:"File to write the plan to." type:"path" placeholder:"FILE"`
+	Confirm bool   `help:"Confirm the plan at once and wait until it is in force."`
+}
+
+func (o *planOutput) finish(e *env, p *plan.Plan) error {
+	if o.Out != "" {
+		b, err := json.MarshalIndent(p, "", "  ")
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(o.Out, b, 0o600); err != nil {
+			return err
+		}
+	}
+	if err := printPlan(e, p); err != nil {
+		return err
+	}
+	if o.Confirm {
+		return confirm(e, p)
+	}
+	return nil
+}
+
+func printPlan(e *env, p *plan.Plan) error {
+	if e.json {
+		return printJSON(p)
+	}
+	fmt.Printf("plan %s for service %s, from generation %d\n", p.ID, p.Service, p.Base)
+	if len(p.Steps) == 0 {
+		fmt.Println("no change")
+	}
+	for _, s := range p.Steps {
+		fmt.Printf("  %-9s %s  %s\n", s.Action, s.Target, s.Detail)
+	}
+	for _, warning := range p.Warnings {
+		fmt.Println("warning:", warning)
+	}
+	if len(p.Shares) == 0 {
+		return nil
+	}
+	return printTable("TARGET\tZONE\tBEFORE\tAFTER", func(w io.Writer) {
+		for _, s := range p.Shares {
+			fmt.Fprintf(w, "%s\t%s\t%.1f%%\t%.1f%%\n", s.Target, s.Zone, 100*s.Before, 100*s.After)
+		}
+	})
+}
+
+type declareCmd struct {
+	File string `arg:"" help:"TOML file that declares the service." type:"existingfile"`
+	planOutput
+}
+
+// Run has a declared service planned.
+func (c *declareCmd) Run(e *env) error {
+	var s service.Service
+	if err := settings.Load(c.File, &s); err != nil {
+		return errors.Join(errUsage, err)
+	}
+	p, err := e.client.Plan(e.ctx, s)
+	if err != nil {
+		return err
+	}
+	return c.finish(e, p)
+}
+
+type planCmd struct {
+	Service string `arg:"" help:"Name of the service."`
+	Target  string `help:"Target that the rule is for." xor:"selector"`
+	Host    string `help:"Host (VM) that the rule is for." xor:"selector"`
+	Zone    string `help:"Availability zone that the rule is for." xor:"selector"`
+
+	Drain bool     `help:"Drain what is selected." xor:"what"`
+	Share *float64 `help:"Relative share of what is selected." xor:"what"`
+	Clear bool     `help:"Drop the rule of what is selected." xor:"what"`
+	planOutput
+}
+
+// Run has one rule of a service's intent changed in a draft, and planned.
+func (c *planCmd) Run(e *env) error {
+	if c.Target+c.Host+c.Zone == "" || !c.Drain && c.Share == nil && !c.Clear {
+		return fmt.Errorf("%w: give --target, --host or --zone, and --drain, --share or --clear", errUsage)
+	}
+	s, err := e.client.Service(e.ctx, c.Service)
+	if err != nil {
+		return err
+	}
+	rule := service.Rule{Target: c.Target, Host: c.Host, Zone: c.Zone, Drain: c.Drain, Share: c.Share}
+	rules := slices.DeleteFunc(slices.Clone(s.Intent.Rules), func(r service.Rule) bool {
+		return r.Target == c.Target && r.Host == c.Host && r.Zone == c.Zone
+	})
+	if !c.Clear {
+		rules = append(rules, rule)
+	}
+	s.Intent.Rules = rules
+	p, err := e.client.Plan(e.ctx, s)
+	if err != nil {
+		return err
+	}
+	return c.finish(e, p)
+}
+
+type undoCmd struct {
+	Service string `arg:"" help:"Name of the service."`
+	To      uint32 `help:"Generation whose intent is to return; the one before the last when 0."`
+	planOutput
+}
+
+// Run has the intent of an earlier generation planned.
+func (c *undoCmd) Run(e *env) error {
+	s, err := e.client.Service(e.ctx, c.Service)
+	if err != nil {
+		return err
+	}
+	if c.To == 0 {
+		c.To = s.Generation - 1
+	}
+	i := slices.IndexFunc(s.Past, func(p service.Change) bool { return p.Generation == c.To })
+	if i < 0 {
+		return fmt.Errorf("%w: generation %d is not among the last %d of service %q", errUsage, c.To, len(s.Past), c.Service)
+	}
+	s.Intent = s.Past[i].Intent
+	p, err := e.client.Plan(e.ctx, s)
+	if err != nil {
+		return err
+	}
+	return c.finish(e, p)
+}
+
+type confirmCmd struct {
+	File string `arg:"" help:"File with the plan, - for standard input." type:"path"`
+}
+
+// Run confirms a plan from a file.
+func (c *confirmCmd) Run(e *env) error {
+	in := os.Stdin
+	if c.File != "-" {
+		f, err := os.Open(c.File)
+		if err != nil {
+			return errors.Join(errUsage, err)
+		}
+		defer f.Close()
+		in = f
+	}
+	p := new(plan.Plan)
+	if err := json.NewDecoder(in).Decode(p); err != nil {
+		return fmt.Errorf("%w: %s holds no plan: %w", errUsage, c.File, err)
+	}
+	return confirm(e, p)
+}
+
+// Confirms a plan and waits until it is in force on every balancer.
+func confirm(e *env, p *plan.Plan) error {
+	done, err := e.client.Confirm(e.ctx, p)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(os.Stderr, "confirmed as generation %d\n", done.Generation)
+	started := time.Now()
+	for {
+		s, err := e.client.Status(e.ctx, p.Service)
+		if err == nil && s.Generation >= done.Generation && everywhere(s) {
+			fmt.Fprintf(os.Stderr, "in force on %d balancers after %v\n", len(s.Balancers), time.Since(started).Round(time.Millisecond))
+			return nil
+		}
+		select {
+		case <-e.ctx.Done():
+			return errors.Join(errNotInForce, missing(s))
+		case <-time.After(statusPoll):
+		}
+	}
+}
+
+func everywhere(s admin.Status) bool {
+	return !slices.ContainsFunc(s.Balancers, func(b admin.Standing) bool { return !b.InForce })
+}
+
+func missing(s admin.Status) error {
+	var errs []error
+	for _, b := range s.Balancers {
+		if !b.InForce {
+			errs = append(errs, fmt.Errorf("%s in %s: %s", b.Balancer, b.Zone, b.Problem))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+type statusCmd struct {
+	Service string `arg:"" help:"Name of the service."`
+}
+
+// Run shows where a configuration is in force.
+func (c *statusCmd) Run(e *env) error {
+	s, err := e.client.Status(e.ctx, c.Service)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return printJSON(s)
+	}
+	fmt.Printf("service %s, generation %d, plan %s, checked with the platform %s ago\n", s.Service, s.Generation, s.PlanID, s.CheckedAgo)
+	return printTable("BALANCER\tZONE\tIN FORCE\tPROBLEM", func(w io.Writer) {
+		for _, b := range s.Balancers {
+			fmt.Fprintf(w, "%s\t%s\t%v\t%s\n", b.Balancer, b.Zone, b.InForce, b.Problem)
+		}
+	})
+}
+
+type membersCmd struct{}
+
+// Run lists balancers and targets.
+func (*membersCmd) Run(e *env) error {
+	members, err := e.client.Members(e.ctx)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return printJSON(members)
+	}
+	return printTable("NAME\tROLE\tSTATE\tZONE\tADDRESS\tSERVICE\tWARMTH\tSESSIONS", func(w io.Writer) {
+		for _, m := range members {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d%%\t%d\n", m.Name, m.Role, m.State, m.Zone, m.Addr, m.Service, m.Warmth, m.Sessions)
+		}
+	})
+}
+
+type explainCmd struct {
+	ID string `arg:"" help:"Connection ID in hexadecimal, as packet captures show it."`
+}
+
+// Run tells where a connection ID leads.
+func (c *explainCmd) Run(e *env) error {
+	x, err := e.client.Explain(e.ctx, c.ID)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return printJSON(x)
+	}
+	fmt.Printf("service number %d, target %s (%s) at %s: %s\n", x.Service, x.Member, x.State, x.Agent, x.Verdict)
+	return nil
+}
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -221,7 +221,8 @@
 	return plan.Make(current, draft, h.agents(draft.Number), h.key)
 }
 
-type memberView struct {
+// Member is a balancer or target as the API shows it.
+type Member struct {
 	Name        string `json:"name"`
 	Role        string `json:"role"`
 	State       string `json:"state"`
@@ -239,19 +240,21 @@
 	for _, s := range h.system.CatalogServices() {
 		tenants[s.Number] = s.Tenant
 	}
-	views := []memberView{}
+	views := []Member{}
 	for _, m := range h.system.Members() {
 		if m.Role == roster.Agent && !op.sees(tenants[m.Service]) {
 			continue
 		}
-		views = append(views, memberView{
+		views = append(views, Member{
 			m.Name, m.Role.String(), m.State.String(), m.Zone, m.Host, m.Addr.String(), m.Service, m.Incarnation, m.Warmth, m.Sessions,
 		})
 	}
 	return views, nil
 }
 
-type statusView struct {
+// Status tells where the newest configuration of a service that the answering
+// balancer knows is in force.
+type Status struct {
 	Service    string     `json:"service"`
 	Generation uint32     `json:"generation"`
 	PlanID     string     `json:"plan_id"`
@@ -268,5 +271,5 @@
 	if t := h.system.Checked(); !t.IsZero() {
 		ago = time.Since(t).Round(time.Millisecond).String()
 	}
-	return statusView{s.Name, s.Generation, s.PlanID, ago, h.system.InForce(r.Context(), s.Number, s.Generation)}, nil
+	return Status{s.Name, s.Generation, s.PlanID, ago, h.system.InForce(r.Context(), s.Number, s.Generation)}, nil
 }
--- /dev/null
+++ b/internal/admin/client.go
@@ -0,0 +1,151 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"os"
+	"time"
+
+	"skylarkturn/internal/plan"
+	"skylarkturn/internal/service"
+)
+
+const (
+	clientTimeout = 15 * time.Second
+	dialTimeout   = 2 * time.Second
+)
+
+// Client calls the administration API of whichever of its balancers answers.
+type Client struct {
+	servers []string // host and port
+	http    *http.Client
+}
+
+// LoadTLS reads the certificate of an operator and the authority to trust.
+func LoadTLS(caFile, certFile, keyFile string) (*tls.Config, error) {
+	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, &Error{"load certificate", KindInvalid, err}
+	}
+	ca, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, &Error{"load authority", KindInvalid, err}
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(ca) {
+		return nil, &Error{"load authority", KindInvalid, fmt.Errorf("%s holds no PEM certificate", caFile)}
+	}
+	return &tls.Config{Certificates: []tls.Certificate{cert}, RootCAs: pool, MinVersion: tls.VersionTLS13}, nil
+}
+
+// NewClient returns a client of the balancers at the given addresses.
+func NewClient(cfg *tls.Config, servers ...string) *Client {
+	return &Client{servers, &http.Client{
+		Timeout:   clientTimeout,
+		Transport: &http.Transport{TLSClientConfig: cfg, TLSHandshakeTimeout: dialTimeout},
+	}}
+}
+
+// At returns a client of one balancer with the same certificate.
+func (c *Client) At(server string) *Client { return &Client{[]string{server}, c.http} }
+
+// Services returns the services that the operator may see.
+func (c *Client) Services(ctx context.Context) (s []service.Service, err error) {
+	return s, c.call(ctx, http.MethodGet, "/v1/services", nil, &s)
+}
+
+// Service returns the confirmed form of a service.
+func (c *Client) Service(ctx context.Context, name string) (s service.Service, err error) {
+	return s, c.call(ctx, http.MethodGet, "/v1/services/"+url.PathEscape(name), nil, &s)
+}
+
+// Plan asks for the plan of a draft; nothing changes.
+func (c *Client) Plan(ctx context.Context, draft service.Service) (*plan.Plan, error) {
+	p := new(plan.Plan)
+	return p, c.call(ctx, http.MethodPost, "/v1/plans", draft, p)
+}
+
+// Confirm confirms a plan; confirming it again has no further effect.
+func (c *Client) Confirm(ctx context.Context, p *plan.Plan) (Confirmation, error) {
+	var done Confirmation
+	return done, c.call(ctx, http.MethodPost, "/v1/confirmations", p, &done)
+}
+
+// Status tells where the configuration of a service is in force.
+func (c *Client) Status(ctx context.Context, name string) (Status, error) {
+	var s Status
+	return s, c.call(ctx, http.MethodGet, "/v1/services/"+url.PathEscape(name)+"/status", nil, &s)
+}
+
+// Members returns the balancers, and the targets that the operator may see.
+func (c *Client) Members(ctx context.Context) (m []Member, err error) {
+	return m, c.call(ctx, http.MethodGet, "/v1/members", nil, &m)
+}
+
+// Explain tells where a connection ID, in hexadecimal, leads.
+func (c *Client) Explain(ctx context.Context, id string) (Explanation, error) {
+	var e Explanation
+	return e, c.call(ctx, http.MethodGet, "/v1/explanations/"+url.PathEscape(id), nil, &e)
+}
+
+// Problem is an error that the API answered (RFC 9457).
+type Problem struct {
+	Type   string `json:"type"`
+	Title  string `json:"title"` // kind of the error
+	Status int    `json:"status"`
+	Detail string `json:"detail"`
+}
+
+// Error returns the kind and the detail.
+func (p *Problem) Error() string { return p.Title + ": " + p.Detail }
+
+// Calls the first balancer that answers: every call may be repeated.
+func (c *Client) call(ctx context.Context, method, path string, body, v any) error {
+	var encoded []byte
+	if body != nil {
+		var err error
+		if encoded, err = json.Marshal(body); err != nil {
+			return &Error{"encode", KindInvalid, err}
+		}
+	}
+	var failed []error
+	for _, server := range c.servers {
+		err := c.callOne(ctx, method, "https://"+server+path, encoded, v)
+		var p *Problem
+		if err == nil || errors.As(err, &p) {
+			return err
+		}
+		failed = append(failed, err)
+	}
+	return &Error{"call", KindUnavailable, errors.Join(failed...)}
+}
+
+func (c *Client) callOne(ctx context.Context, method, url string, body []byte, v any) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return json.Unmarshal(answer, v)
+	}
+	p := &Problem{Title: resp.Status, Status: resp.StatusCode, Detail: string(answer)}
+	_ = json.Unmarshal(answer, p) // an answer of another form stays as the detail
+	return p
+}
--- a/internal/admin/confirm.go
+++ b/internal/admin/confirm.go
@@ -66,10 +66,8 @@
 	if done {
 		return h.confirmed(next, p.ID, true), nil
 	}
-	if current == nil || len(next.Addresses) > 0 {
-		if err := h.claim(ctx, &next); err != nil {
-			return nil, err
-		}
+	if err := h.claim(ctx, &next); err != nil {
+		return nil, err
 	}
 	value, err := json.Marshal(next)
 	if err != nil {
@@ -191,15 +189,8 @@
 	return e, nil
 }
 
-type problem struct {
-	Type   string `json:"type"`
-	Title  string `json:"title"`
-	Status int    `json:"status"`
-	Detail string `json:"detail"`
-}
-
 func writeProblem(w http.ResponseWriter, err error) {
-	p := problem{Title: KindUnavailable, Status: http.StatusServiceUnavailable, Detail: err.Error()}
+	p := Problem{Title: KindUnavailable, Status: http.StatusServiceUnavailable, Detail: err.Error()}
 	var mine *Error
 	var planned *plan.Error
 	var declared *service.Error
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -35,7 +35,7 @@
 // with a context that SIGTERM or SIGINT ends. It returns the exit code.
 func Main(name, about string, cfg settings.Checker, logging *settings.Log, run func(ctx context.Context, l *log.Logger) error) int {
 	var f Flags
-	kong.Parse(&f, kong.Name(name), kong.Description(about), kong.Vars{"version": Version()})
+	kong.Parse(&f, kong.Name(name), kong.Description(about), kong.Vars{"version": Version()}, kong.Exit(exit))
 	if err := settings.Load(f.Config, cfg); err != nil {
 		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
 		return ExitSettings
@@ -58,6 +58,14 @@
 	return 0
 }
 
+// Exits with the documented code where the flags are at fault.
+func exit(code int) {
+	if code != 0 {
+		code = ExitSettings
+	}
+	os.Exit(code)
+}
+
 // Logger returns a logger for the settings that writes to w.
 func Logger(cfg settings.Log, w io.Writer) *log.Logger {
 	level := log.InfoLevel
--- a/internal/standin/failure_test.go
+++ b/internal/standin/failure_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-quicktest/qt"
 
 	"skylarkturn/caller"
+	"skylarkturn/internal/admin"
 	"skylarkturn/internal/standin"
 )
 
@@ -26,7 +27,7 @@
 	*standin.Deployment
 	t        *testing.T
 	ctx      context.Context
-	operator *standin.Operator
+	operator *admin.Client
 	load     *standin.Load
 	end      context.CancelFunc
 	ended    chan error
--- /dev/null
+++ b/internal/standin/operators_test.go
@@ -0,0 +1,199 @@
+package standin_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-quicktest/qt"
+
+	"skylarkturn/internal/admin"
+	"skylarkturn/internal/plan"
+	"skylarkturn/internal/service"
+	"skylarkturn/internal/standin"
+)
+
+// desk is a deployment with a declared service and an operator.
+type desk struct {
+	*standin.Deployment
+	t         *testing.T
+	ctx       context.Context
+	operator  *admin.Client
+	balancers []*standin.Daemon
+}
+
+func openDesk(t *testing.T, balancers, hosts int) *desk {
+	t.Helper()
+	t.Parallel()
+	stages <- struct{}{}
+	t.Cleanup(func() { <-stages })
+	svc := bookdesk
+	svc.Hosts = hosts
+	d := &desk{Deployment: deploy(t, standin.Options{Balancers: balancers, Services: []standin.ServiceOptions{svc}}), t: t}
+	var cancel context.CancelFunc
+	d.ctx, cancel = context.WithTimeout(t.Context(), time.Minute)
+	t.Cleanup(cancel)
+	var err error
+	d.operator, err = d.Operator()
+	qt.Assert(t, qt.IsNil(err))
+	qt.Assert(t, qt.IsNil(d.DeclareAll(d.ctx, d.operator)))
+	for _, b := range d.Balancers() {
+		d.balancers = append(d.balancers, b)
+	}
+	return d
+}
+
+func (d *desk) at(i int) *admin.Client { return d.operator.At(d.balancers[i].Admin) }
+
+func (d *desk) draining(target string) service.Service {
+	s, err := d.at(0).Service(d.ctx, "bookdesk")
+	qt.Assert(d.t, qt.IsNil(err))
+	s.Intent.Rules = []service.Rule{{Target: target, Drain: true}}
+	return s
+}
+
+// Waits until every balancer has the generation, by the report of each.
+func (d *desk) inForce(generation uint32) {
+	d.t.Helper()
+	for _, b := range d.balancers {
+		for {
+			s, err := d.operator.At(b.Admin).Service(d.ctx, "bookdesk")
+			if err == nil && s.Generation == generation {
+				break
+			}
+			if d.ctx.Err() != nil {
+				d.t.Fatalf("generation %d is not in force on %s: have %d, %v", generation, b.Name, s.Generation, err)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
+
+func problemOf(t *testing.T, err error) *admin.Problem {
+	t.Helper()
+	var p *admin.Problem
+	qt.Assert(t, qt.IsTrue(errors.As(err, &p)), qt.Commentf("%v", err))
+	return p
+}
+
+func TestRacingOperators(t *testing.T) {
+	d := openDesk(t, 2, 2)
+	for round := range 5 {
+		drafts := []service.Service{d.draining("bookdesk-1"), d.draining("bookdesk-2")}
+		drafts[0].Intent.Rules[0].Share = new(float64)
+		plans := make([]*plan.Plan, len(drafts))
+		for i, draft := range drafts {
+			var err error
+			plans[i], err = d.at(i).Plan(d.ctx, draft)
+			qt.Assert(t, qt.IsNil(err))
+		}
+		errs := make(chan error, len(plans))
+		for i, p := range plans {
+			go func() {
+				_, err := d.at(i).Confirm(d.ctx, p)
+				errs <- err
+			}()
+		}
+		first, second := <-errs, <-errs
+		if first == nil {
+			first, second = second, first
+		}
+		qt.Assert(t, qt.IsNil(second))
+		p := problemOf(t, first)
+		qt.Check(t, qt.Equals(p.Status, http.StatusConflict))
+		qt.Check(t, qt.StringContains(p.Detail, "by operator"))
+		d.inForce(uint32(round + 2))
+	}
+}
+
+func TestConfirmWhoseAnswerIsLost(t *testing.T) {
+	d := openDesk(t, 2, 2)
+	p, err := d.at(0).Plan(d.ctx, d.draining("bookdesk-1"))
+	qt.Assert(t, qt.IsNil(err))
+	d.Platform.LoseAnswers(1)
+	c, err := d.at(0).Confirm(d.ctx, p)
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.Equals(c.Generation, uint32(2)))
+	c, err = d.at(1).Confirm(d.ctx, p)
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.Equals(c.Generation, uint32(2)))
+	qt.Check(t, qt.IsTrue(c.Repeated))
+	d.inForce(2)
+}
+
+func TestPlatformOutage(t *testing.T) {
+	d := openDesk(t, 2, 2)
+	d.Platform.SetDown(true)
+	p, err := d.at(0).Plan(d.ctx, d.draining("bookdesk-1"))
+	qt.Assert(t, qt.IsNil(err))
+	_, err = d.at(0).Confirm(d.ctx, p)
+	refused := problemOf(t, err)
+	qt.Check(t, qt.Equals(refused.Status, http.StatusServiceUnavailable))
+	qt.Check(t, qt.StringContains(refused.Detail, "nothing was changed"))
+	d.Platform.SetDown(false)
+	_, err = d.at(1).Confirm(d.ctx, p)
+	qt.Assert(t, qt.IsNil(err))
+	d.inForce(2)
+}
+
+func TestFrozenBalancerDoesNotRevert(t *testing.T) {
+	d := openDesk(t, 3, 2)
+	frozen := d.balancers[2]
+	qt.Assert(t, qt.IsNil(frozen.Freeze()))
+	for generation, target := range []string{"bookdesk-1", "bookdesk-2"} {
+		p, err := d.at(0).Plan(d.ctx, d.draining(target))
+		qt.Assert(t, qt.IsNil(err))
+		c, err := d.at(generation).Confirm(d.ctx, p)
+		qt.Assert(t, qt.IsNil(err))
+		qt.Assert(t, qt.Equals(c.Generation, uint32(generation+2)))
+	}
+	s, err := d.at(0).Status(d.ctx, "bookdesk")
+	qt.Assert(t, qt.IsNil(err))
+	for _, b := range s.Balancers {
+		qt.Check(t, qt.Equals(b.InForce, b.Balancer != frozen.Name), qt.Commentf("%+v", b))
+	}
+	qt.Assert(t, qt.IsNil(frozen.Resume()))
+	d.inForce(3)
+}
+
+func TestTenantsAreApart(t *testing.T) {
+	d := openDesk(t, 1, 1)
+	qt.Assert(t, qt.IsNil(d.Authority.Operator("stranger", "refill-collective")))
+	qt.Assert(t, qt.IsNil(d.Authority.Operator("viewer", "lensbridge", "viewer")))
+	draft := d.draining("bookdesk-1")
+
+	stranger, err := d.Authority.OperatorClient("stranger")
+	qt.Assert(t, qt.IsNil(err))
+	stranger = stranger.At(d.balancers[0].Admin)
+	_, err = stranger.Service(d.ctx, "bookdesk")
+	qt.Check(t, qt.Equals(problemOf(t, err).Status, http.StatusNotFound))
+	_, err = stranger.Plan(d.ctx, draft)
+	qt.Check(t, qt.Equals(problemOf(t, err).Status, http.StatusForbidden))
+
+	viewer, err := d.Authority.OperatorClient("viewer")
+	qt.Assert(t, qt.IsNil(err))
+	viewer = viewer.At(d.balancers[0].Admin)
+	_, err = viewer.Service(d.ctx, "bookdesk")
+	qt.Check(t, qt.IsNil(err))
+	_, err = viewer.Plan(d.ctx, draft)
+	qt.Check(t, qt.Equals(problemOf(t, err).Status, http.StatusForbidden))
+}
+
+func TestAlteredPlanIsRefused(t *testing.T) {
+	d := openDesk(t, 1, 2)
+	p, err := d.at(0).Plan(d.ctx, d.draining("bookdesk-1"))
+	qt.Assert(t, qt.IsNil(err))
+	p.Draft.Intent.Rules[0].Target = "bookdesk-2"
+	_, err = d.at(0).Confirm(d.ctx, p)
+	qt.Check(t, qt.Equals(problemOf(t, err).Title, "forged"))
+}
+
+func TestIntentWithoutTargetsIsRefused(t *testing.T) {
+	d := openDesk(t, 1, 1)
+	_, err := d.at(0).Plan(d.ctx, d.draining("bookdesk-1"))
+	qt.Check(t, qt.Equals(problemOf(t, err).Title, "capacity"))
+	_, err = d.at(0).Plan(d.ctx, d.draining("nobody"))
+	qt.Check(t, qt.StringContains(problemOf(t, err).Detail, "intent.rules[0]"))
+}
--- a/internal/standin/settle.go
+++ b/internal/standin/settle.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"skylarkturn/internal/admin"
 	"skylarkturn/internal/service"
 )
 
@@ -74,7 +75,7 @@
 
 // DeclareAll declares every service of the deployment and waits until the
 // configuration is in force on every balancer.
-func (d *Deployment) DeclareAll(ctx context.Context, o *Operator) error {
+func (d *Deployment) DeclareAll(ctx context.Context, o *admin.Client) error {
 	agents := 0
 	for _, s := range d.opt.Services {
 		if err := d.Apply(ctx, o, d.Declaration(s)); err != nil {
@@ -86,13 +87,13 @@
 }
 
 // Apply has a draft planned and confirms the plan.
-func (d *Deployment) Apply(ctx context.Context, o *Operator, draft service.Service) error {
+func (d *Deployment) Apply(ctx context.Context, o *admin.Client, draft service.Service) error {
 	for _, b := range d.Balancers() {
-		p, err := o.Plan(ctx, b, draft)
+		p, err := o.At(b.Admin).Plan(ctx, draft)
 		if err != nil {
 			return err
 		}
-		_, err = o.Confirm(ctx, b, p)
+		_, err = o.At(b.Admin).Confirm(ctx, p)
 		return err
 	}
 	return &Error{"apply", KindProcess, errNoBalancer}
@@ -101,19 +102,18 @@
 var errNoBalancer = fmt.Errorf("no balancer runs")
 
 // Operator returns a client with the system operator's certificate.
-func (d *Deployment) Operator() (*Operator, error) { return d.Authority.OperatorClient("operator") }
+func (d *Deployment) Operator() (*admin.Client, error) { return d.Authority.OperatorClient("operator") }
 
 // Current reads the confirmed form of a service at any balancer.
-func (d *Deployment) Current(ctx context.Context, o *Operator, name string) (service.Service, error) {
-	var s service.Service
+func (d *Deployment) Current(ctx context.Context, o *admin.Client, name string) (service.Service, error) {
 	for _, b := range d.Balancers() {
-		return s, o.Get(ctx, b, "/v1/services/"+name, &s)
+		return o.At(b.Admin).Service(ctx, name)
 	}
-	return s, &Error{"current", KindProcess, errNoBalancer}
+	return service.Service{}, &Error{"current", KindProcess, errNoBalancer}
 }
 
 // Drain confirms an intent that drains a target, or takes it in again.
-func (d *Deployment) Drain(ctx context.Context, o *Operator, name, target string, drain bool) error {
+func (d *Deployment) Drain(ctx context.Context, o *admin.Client, name, target string, drain bool) error {
 	s, err := d.Current(ctx, o, name)
 	if err != nil {
 		return err
