Add the demo and experiments: load, events, promises

Cause: promises were checked in single tests only. Callers' reports are compared with the hosts' journals.

--- /dev/null
+++ b/cmd/skylark-stand/main.go
@@ -0,0 +1,139 @@
+// Command skylark-stand runs the system with small stand-ins of what surrounds
+// it, on loopback: a demo, and experiments with load and failures.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"text/tabwriter"
+
+	"github.com/alecthomas/kong"
+
+	"skylarkturn/internal/daemon"
+	"skylarkturn/internal/settings"
+	"skylarkturn/internal/standin"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+	exitBroken  = 3 // a promise was broken
+)
+
+type cli struct {
+	Demo    demoCmd          `cmd:"" help:"Run both tenants of the brief in one process for some 20 s."`
+	Run     runCmd           `cmd:"" help:"Run the experiment of a TOML file with the built programs as processes."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+var errBroken = errors.New("a promise was broken")
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("skylark-stand"), kong.Description("Runs the system among stand-ins, on loopback."),
+		kong.Vars{"version": daemon.Version()}, kong.BindFor[context.Context](nil))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	k.BindTo(ctx, (*context.Context)(nil))
+	err := k.Run()
+	stop()
+	os.Exit(exitCode(err))
+}
+
+func exitCode(err error) int {
+	var invalid *settings.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, errBroken):
+		fmt.Fprintln(os.Stderr, "skylark-stand:", err)
+		return exitBroken
+	case errors.As(err, &invalid):
+		fmt.Fprintln(os.Stderr, "skylark-stand:", err)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "skylark-stand:", err)
+	return exitFailure
+}
+
+type demoCmd struct {
+	Scale float64 `help:"Part of the 2,000 connections of each service." default:"0.02"`
+	JSON  bool    `help:"Print the result as one JSON object."`
+}
+
+// Run runs the demo.
+func (c *demoCmd) Run(ctx context.Context) error {
+	return run(ctx, standin.Demo(c.Scale), "", c.JSON)
+}
+
+type runCmd struct {
+	File string `arg:"" help:"Experiment, see docs/EXPERIMENTS.md." type:"existingfile"`
+	Bin  string `help:"Directory of skylark-balancer and skylark-agent; the one of this program when empty." type:"path"`
+	JSON bool   `help:"Print the result as one JSON object."`
+}
+
+// Run runs an experiment.
+func (c *runCmd) Run(ctx context.Context) error {
+	var e standin.Experiment
+	if err := settings.Load(c.File, &e); err != nil {
+		return err
+	}
+	if c.Bin == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		c.Bin = filepath.Dir(self)
+	}
+	return run(ctx, &e, c.Bin, c.JSON)
+}
+
+func run(ctx context.Context, e *standin.Experiment, bin string, asJSON bool) (err error) {
+	dir, err := os.MkdirTemp("", "skylark-stand")
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
+	r, err := e.Run(ctx, standin.RunOptions{Dir: dir, Bin: bin, Progress: func(format string, args ...any) {
+		fmt.Fprintf(os.Stderr, format+"\n", args...)
+	}})
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		err = json.NewEncoder(os.Stdout).Encode(r)
+	} else {
+		err = printTable(os.Stdout, &r)
+	}
+	if err == nil && len(r.Promises) > 0 {
+		return errBroken
+	}
+	return err
+}
+
+func printTable(out io.Writer, r *standin.Result) error {
+	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "TENANT\tSERVICE\tSESSIONS\tREQUESTS\tANSWERED\tNOT RUN\tUNKNOWN\tBROKEN FLOWS\tMOVES\tLOST\tDUPLICATED\tMISROUTED\tCUT\tINCOMPLETE\tIMBALANCE\tP50 MS\tP99 MS\t")
+	for _, s := range r.Services {
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.1f\t%.1f\t\n",
+			s.Tenant, s.Service, s.Sessions, s.Requests, s.Answered, s.NotRun, s.Unknown, s.Broken, s.Moves, s.Lost,
+			s.Duplicated, s.Misrouted, s.Cut, s.Incomplete, s.Imbalance, s.P50ms, s.P99ms)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "configuration in force everywhere after at most %.0f ms\n", r.ConfigInForceMS)
+	for _, p := range r.Promises {
+		fmt.Fprintln(out, "promise broken:", p)
+	}
+	if len(r.Promises) == 0 {
+		fmt.Fprintln(out, "all promises kept")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/action.go
@@ -0,0 +1,197 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	rollPause = 300 * time.Millisecond // between the start of a balancer and the stop of the one it replaces
+	inForce   = 20 * time.Second
+)
+
+func makeDir(dir string) error {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return &Error{"make directory", KindFiles, err}
+	}
+	return nil
+}
+
+// Reports whether an event that names a target is about this site.
+func (s *stage) concerns(ev *Event) bool {
+	return ev.Target == "" || s.Agent(ev.Target) != nil
+}
+
+func (s *stage) act(ctx context.Context, ev *Event) error {
+	switch ev.Action {
+	case ActionPlatformDown:
+		s.Platform.SetDown(true)
+	case ActionPlatformUp:
+		s.Platform.SetDown(false)
+	case ActionPlatformSlow:
+		s.Platform.SetDelay(time.Duration(ev.Delay))
+	case ActionLoseAnswers:
+		s.Platform.LoseAnswers(ev.Count)
+	case ActionFaults:
+		s.Fabric.SetFaults(Faults{Loss: ev.Loss, Delay: time.Duration(ev.Delay), Jitter: time.Duration(ev.Jitter)})
+	case ActionSilence:
+		s.Fabric.SilenceFlows()
+	case ActionDrain, ActionUndrain:
+		return s.drain(ctx, ev.Target, ev.Action == ActionDrain)
+	case ActionKillZone:
+		return s.killZone(ev.Zone)
+	case ActionSlowHost:
+		s.Host(ev.Target).SetSpeed(ev.Count)
+	case ActionRollBalancers, ActionKillBalancer, ActionAddBalancer, ActionFreezeBalancer:
+		return s.actOnBalancers(ctx, ev)
+	default:
+		return s.actOnTarget(ctx, ev)
+	}
+	return nil
+}
+
+func (s *stage) actOnBalancers(ctx context.Context, ev *Event) error {
+	running := s.Balancers()
+	names := slices.Sorted(maps.Keys(running))
+	switch ev.Action {
+	case ActionAddBalancer:
+		_, err := s.AddBalancer()
+		return err
+	case ActionKillBalancer:
+		return running[names[0]].Kill()
+	case ActionFreezeBalancer:
+		return s.freeze(ctx, running[names[0]], time.Duration(ev.Delay))
+	}
+	for _, name := range names {
+		if _, err := s.AddBalancer(); err != nil {
+			return err
+		}
+		if err := waitUntil(ctx, time.Now().Add(rollPause)); err != nil {
+			return err
+		}
+		s.Fabric.Remove(name)
+		if err := running[name].Stop(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Freezes a daemon for a time, while the schedule goes on.
+func (s *stage) freeze(ctx context.Context, m *Daemon, d time.Duration) error {
+	if err := m.Freeze(); err != nil {
+		return err
+	}
+	s.group.Go(func() error {
+		_ = waitUntil(ctx, time.Now().Add(d)) // at the end it is resumed early
+		return m.Resume()
+	})
+	return nil
+}
+
+func (s *stage) actOnTarget(ctx context.Context, ev *Event) error {
+	m := s.Agent(ev.Target)
+	if m == nil {
+		return &Error{ev.Action, KindProcess, fmt.Errorf("no target is named %q", ev.Target)}
+	}
+	s.changed[ev.Target] = true
+	switch ev.Action {
+	case ActionKillTarget:
+		s.lost[ev.Target] = true
+		return m.Kill()
+	case ActionFreezeTarget:
+		s.lost[ev.Target] = true
+		return s.freeze(ctx, m, time.Duration(ev.Delay))
+	case ActionStopTarget:
+		return m.Stop()
+	}
+	svc, i, err := s.serviceOf(ev.Target)
+	if err != nil {
+		return err
+	}
+	_, err = s.StartAgent(svc, ev.Target, s.zone(i))
+	return err
+}
+
+// Returns the service and the number of a target by its name.
+func (s *stage) serviceOf(target string) (svc ServiceOptions, number int, err error) {
+	for _, svc := range s.opt.Services {
+		rest, ok := strings.CutPrefix(target, svc.Name+"-")
+		if !ok {
+			continue
+		}
+		if _, err := fmt.Sscanf(rest, "%d", &number); err == nil {
+			return svc, number, nil
+		}
+	}
+	return svc, 0, &Error{"find service", KindProcess, fmt.Errorf("no service has a target %q", target)}
+}
+
+// Drains or activates a target by a confirmed plan and measures the time until
+// it is in force on every balancer that runs.
+func (s *stage) drain(ctx context.Context, target string, drain bool) error {
+	svc, _, err := s.serviceOf(target)
+	if err != nil {
+		return err
+	}
+	s.changed[target] = true
+	if err := s.Drain(ctx, s.operator, svc.Name, target, drain); err != nil {
+		return err
+	}
+	confirmed := time.Now()
+	current, err := s.newest(ctx, svc.Name)
+	if err != nil {
+		return err
+	}
+	late, cancel := context.WithTimeout(ctx, inForce)
+	defer cancel()
+	for {
+		if s.everywhere(late, svc.Name, current) {
+			s.inForce = append(s.inForce, time.Since(confirmed))
+			return nil
+		}
+		if late.Err() != nil {
+			return &Error{"drain", KindProcess, errors.New("configuration is not in force everywhere")}
+		}
+	}
+}
+
+// Returns the highest generation of a service on any balancer.
+func (s *stage) newest(ctx context.Context, name string) (generation uint32, err error) {
+	for _, b := range s.Balancers() {
+		current, err := s.operator.At(b.Admin).Service(ctx, name)
+		if err != nil {
+			return 0, err
+		}
+		generation = max(generation, current.Generation)
+	}
+	return generation, nil
+}
+
+func (s *stage) everywhere(ctx context.Context, name string, generation uint32) bool {
+	for _, b := range s.Balancers() {
+		current, err := s.operator.At(b.Admin).Service(ctx, name)
+		if err != nil || current.Generation < generation {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *stage) killZone(zone string) error {
+	var errs []error
+	for _, m := range s.daemons() {
+		if m.Zone != zone || !m.Running() {
+			continue
+		}
+		s.lost[m.Name], s.changed[m.Name] = true, true
+		errs = append(errs, m.Kill())
+	}
+	return errors.Join(errs...)
+}
--- a/internal/standin/daemon.go
+++ b/internal/standin/daemon.go
@@ -21,6 +21,7 @@
 // part of this one.
 type Daemon struct {
 	Name      string
+	Zone      string
 	Admin     string // address of the administration API; balancers only
 	Inner     string
 	Ops       string
@@ -60,7 +61,7 @@
 
 func (d *Deployment) startBalancer(cfg balancer.Settings) (*Daemon, error) {
 	if d.opt.Bin != "" {
-		return d.startProcess("skylark-balancer", cfg.Name, cfg)
+		return d.startProcess("skylark-balancer", cfg.Name, cfg.Zone, cfg)
 	}
 	if err := cfg.Check(); err != nil {
 		return nil, err
@@ -70,12 +71,12 @@
 		return nil, err
 	}
 	a := b.Addresses()
-	return d.startHere(&Daemon{Name: cfg.Name, Admin: a.Admin, Inner: a.Inner, Ops: a.Ops, Listen: a.Listen, close: b.Close}, b.Run), nil
+	return d.startHere(&Daemon{Name: cfg.Name, Zone: cfg.Zone, Admin: a.Admin, Inner: a.Inner, Ops: a.Ops, Listen: a.Listen, close: b.Close}, b.Run), nil
 }
 
 func (d *Deployment) startAgent(cfg agent.Settings) (*Daemon, error) {
 	if d.opt.Bin != "" {
-		return d.startProcess("skylark-agent", cfg.Name, cfg)
+		return d.startProcess("skylark-agent", cfg.Name, cfg.Zone, cfg)
 	}
 	if err := cfg.Check(); err != nil {
 		return nil, err
@@ -85,7 +86,7 @@
 		return nil, err
 	}
 	at := a.Addresses()
-	return d.startHere(&Daemon{Name: cfg.Name, Inner: at.Inner, Ops: at.Ops, close: a.Close}, a.Run), nil
+	return d.startHere(&Daemon{Name: cfg.Name, Zone: cfg.Zone, Inner: at.Inner, Ops: at.Ops, close: a.Close}, a.Run), nil
 }
 
 func (d *Deployment) startHere(m *Daemon, run func(context.Context) error) *Daemon {
@@ -106,7 +107,7 @@
 var errNotReady = errors.New("process did not say that it is ready")
 
 // Starts a program and waits for its ready line.
-func (d *Deployment) startProcess(program, name string, cfg any) (*Daemon, error) {
+func (d *Deployment) startProcess(program, name, zone string, cfg any) (*Daemon, error) {
 	path, err := d.settingsFile(name, cfg)
 	if err != nil {
 		return nil, err
@@ -120,7 +121,7 @@
 	if err := cmd.Start(); err != nil {
 		return nil, &Error{"start " + name, KindProcess, err}
 	}
-	m := &Daemon{Name: name, process: cmd.Process, ended: make(chan struct{})}
+	m := &Daemon{Name: name, Zone: zone, process: cmd.Process, ended: make(chan struct{})}
 	lines := make(chan readyLine, 1)
 	d.group.Go(func() error {
 		defer close(m.ended)
