Tell callers at once when their agent's process has ended; test decisions

Change: an observer that misses one heartbeat connects to the agent's TCP port; a refused connection is certain news, so balancers hand the flow's datagrams to another agent of the service, which answers with a stateless reset. Suspicion alone still leaves flows alone.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -59,6 +59,8 @@
 	rebuilt time.Time
 	stale   bool // the catalog or the keys changed since
 	pulls   chan pull
+	probes  chan roster.Member
+	probing map[netip.AddrPort]bool
 }
 
 // Option changes how New builds a balancer.
@@ -94,6 +96,8 @@
 		catalog: service.NewCatalog(),
 		spread:  make(map[uint16]int),
 		pulls:   make(chan pull, pullQueue),
+		probes:  make(chan roster.Member, probeQueue),
+		probing: make(map[netip.AddrPort]bool),
 		stale:   true,
 		closed:  make(chan struct{}),
 	}
@@ -207,6 +211,7 @@
 	}
 	g.Go(func() error { return b.keepTime(ctx) })
 	g.Go(func() error { return b.fetch(ctx) })
+	g.Go(func() error { return b.probeAgents(ctx) })
 	g.Go(func() error { return b.followPlatform(ctx) })
 	g.Go(func() error { return peer.Serve(ctx, b.calls, b.creds, b, nil) })
 	g.Go(func() error { return b.serveOps(ctx) })
--- a/internal/balancer/counters.go
+++ b/internal/balancer/counters.go
@@ -21,6 +21,7 @@
 	controlOut      *metrics.Counter
 	controlOutBytes *metrics.Counter
 	fetchErrors     *metrics.Counter
+	probes          *metrics.Counter
 	platformErrors  *metrics.Counter
 	badObjects      *metrics.Counter
 	reloadErrors    *metrics.Counter
@@ -38,6 +39,7 @@
 		controlInBytes:  s.NewCounter("skylark_control_bytes_received_total"),
 		controlOut:      s.NewCounter("skylark_control_messages_sent_total"),
 		controlOutBytes: s.NewCounter("skylark_control_bytes_sent_total"),
+		probes:          s.NewCounter("skylark_probes_total"),
 		fetchErrors:     s.NewCounter("skylark_fetch_errors_total"),
 		platformErrors:  s.NewCounter("skylark_platform_errors_total"),
 		badObjects:      s.NewCounter("skylark_bad_objects_total"),
--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -41,6 +41,7 @@
 	}
 	b.mu.Lock()
 	b.countChanges(b.members.Tick(now, b.self))
+	b.wantProbes(now)
 	out := b.gossip(now, n)
 	b.rebuild()
 	b.mu.Unlock()
--- /dev/null
+++ b/internal/request/request_test.go
@@ -0,0 +1,220 @@
+package request
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/go-quicktest/qt"
+	"pgregory.net/rapid"
+)
+
+func TestBindingText(t *testing.T) {
+	key := []byte("key")
+	want := Binding{Agent: netip.MustParseAddrPort("10.1.2.3:77"), Service: 17, Incarnation: 1 << 60, Issued: time.Minute}
+	got, err := ParseBinding(want.Text(key), key)
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.Equals(got, want))
+	_, err = ParseBinding(want.Text(key), []byte("other"))
+	qt.Check(t, qt.ErrorMatches(err, ".*seal does not match"))
+	_, err = ParseBinding("x", key)
+	qt.Check(t, qt.ErrorMatches(err, ".*malformed"))
+}
+
+func TestLedgerForgetsOnlyWhatNoBindingSpeaksFor(t *testing.T) {
+	l := NewLedger(Limits{Entries: 2, Bytes: 1000, Body: 10, Lifetime: time.Minute})
+	v, _ := l.Begin(time.Second, "a", time.Second)
+	qt.Assert(t, qt.Equals(v, Run))
+	l.Finish(2*time.Second, "a", Answer{Status: 200, Body: []byte("whole")})
+	v, a := l.Begin(30*time.Second, "a", time.Second)
+	qt.Check(t, qt.Equals(v, Replay))
+	qt.Check(t, qt.Equals(string(a.Body), "whole"))
+
+	v, _ = l.Begin(70*time.Second, "a", time.Second)
+	qt.Check(t, qt.Equals(v, Expired)) // forgotten, and too old to be told from new
+	qt.Check(t, qt.Equals(l.Len(), 0))
+	qt.Check(t, qt.Equals(l.bytes, 0))
+}
+
+func TestLedgerKeepsRequestsInProgress(t *testing.T) {
+	l := NewLedger(Limits{Entries: 10, Bytes: 1000, Body: 10, Lifetime: time.Second})
+	l.Begin(0, "slow", 0)
+	v, _ := l.Begin(time.Hour, "slow", 0)
+	qt.Check(t, qt.Equals(v, InProgress))
+}
+
+func TestFullLedgerFences(t *testing.T) {
+	l := NewLedger(Limits{Entries: 1, Bytes: 1000, Body: 10, Lifetime: time.Minute})
+	l.Begin(1, "a", 1)
+	v, _ := l.Begin(2, "b", 1)
+	qt.Check(t, qt.Equals(v, Fenced))
+	l.Finish(3, "a", Answer{})
+	v, _ = l.Begin(2*time.Minute, "c", 2*time.Minute)
+	qt.Check(t, qt.Equals(v, Run)) // room again
+	v, _ = l.Begin(2*time.Minute, "b", 1)
+	qt.Check(t, qt.Equals(v, Expired))
+}
+
+func TestLargeAnswerIsDropped(t *testing.T) {
+	l := NewLedger(Limits{Entries: 10, Bytes: 1000, Body: 3, Lifetime: time.Minute})
+	l.Begin(1, "a", 1)
+	l.Finish(2, "a", Answer{Status: 200, Body: []byte("long")})
+	v, a := l.Begin(3, "a", 1)
+	qt.Check(t, qt.Equals(v, Replay))
+	qt.Check(t, qt.IsTrue(a.Dropped))
+	qt.Check(t, qt.HasLen(a.Body, 0))
+}
+
+func offer(t Ticket, session uint64, priority int, deadline time.Duration) Offer {
+	return Offer{Ticket: t, Session: session, Priority: priority, Deadline: deadline}
+}
+
+func TestGateOrder(t *testing.T) {
+	g := NewGate(GateLimits{Slots: 1, Queue: 10})
+	d, _ := g.Offer(0, offer(1, 1, 0, time.Minute))
+	qt.Assert(t, qt.Equals(d, Start))
+	for _, o := range []Offer{
+		offer(2, 1, 0, time.Minute), // of the session that has the slot
+		offer(3, 2, 0, time.Minute),
+		offer(4, 1, 5, time.Minute), // of a class that goes first
+	} {
+		d, _ := g.Offer(0, o)
+		qt.Assert(t, qt.Equals(d, Wait))
+	}
+	var order []Ticket
+	session := uint64(1)
+	for range 3 {
+		started := g.Release(time.Second, session, time.Millisecond)
+		qt.Assert(t, qt.HasLen(started, 1))
+		order = append(order, started...)
+		session = map[Ticket]uint64{2: 1, 3: 2, 4: 1}[started[0]]
+	}
+	qt.Check(t, qt.DeepEquals(order, []Ticket{4, 2, 3}))
+}
+
+func TestGateIsFairBetweenSessions(t *testing.T) {
+	g := NewGate(GateLimits{Slots: 2, Queue: 10})
+	g.Offer(0, offer(1, 1, 0, time.Minute))
+	g.Offer(0, offer(2, 1, 0, time.Minute))
+	g.Offer(0, offer(3, 1, 0, time.Minute))
+	g.Offer(0, offer(4, 2, 0, time.Minute))
+	qt.Check(t, qt.DeepEquals(g.Release(1, 1, time.Millisecond), []Ticket{4}))
+}
+
+func TestGateRefusesWhatCanNotMeetItsDeadline(t *testing.T) {
+	g := NewGate(GateLimits{Slots: 1, Queue: 100})
+	g.Offer(0, offer(1, 1, 0, time.Minute))
+	d, retryAfter := g.Offer(0, offer(2, 1, 0, firstServiceTime))
+	qt.Check(t, qt.Equals(d, Refuse))
+	qt.Check(t, qt.IsTrue(retryAfter > 0))
+	d, _ = g.Offer(time.Second, offer(3, 1, 0, time.Second))
+	qt.Check(t, qt.Equals(d, Refuse))
+
+	g.Offer(0, offer(4, 1, 0, time.Minute))
+	qt.Check(t, qt.DeepEquals(g.Expire(2*time.Minute), []Ticket{4}))
+	qt.Check(t, qt.HasLen(g.Release(2*time.Minute, 1, time.Second), 0))
+}
+
+// Whatever is offered, cancelled and released: never more in slots than there
+// are, and every request that waits is started, cancelled or expired once.
+func TestGateBooks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		g := NewGate(GateLimits{Slots: slots, Queue: rapid.IntRange(0, 5).Draw(t, "queue")})
+		var running []uint64
+		session := make(map[Ticket]uint64)
+		now := time.Duration(0)
+		start := func(tickets []Ticket) {
+			for _, tk := range tickets {
+				s, ok := session[tk]
+				if !ok {
+					t.Fatalf("ticket %d started, and does not wait", tk)
+				}
+				delete(session, tk)
+				running = append(running, s)
+			}
+		}
+		for n := range rapid.IntRange(1, 60).Draw(t, "events") {
+			now += time.Duration(rapid.IntRange(0, 30).Draw(t, "pause")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0, 1:
+				tk, s := Ticket(n+1), rapid.Uint64Range(1, 3).Draw(t, "session")
+				d, _ := g.Offer(now, offer(tk, s, rapid.IntRange(0, 1).Draw(t, "priority"), now+time.Second))
+				if d == Start {
+					running = append(running, s)
+				} else if d == Wait {
+					session[tk] = s
+				}
+			case 2:
+				if len(running) > 0 {
+					s := running[0]
+					running = running[1:]
+					start(g.Release(now, s, time.Millisecond))
+				}
+			case 3:
+				for _, tk := range g.Expire(now) {
+					delete(session, tk)
+				}
+			}
+			if g.Busy() != len(running) || g.Busy() > slots || g.Queued() != len(session) {
+				t.Fatalf("busy %d of %d, queued %d; want %d and %d", g.Busy(), slots, g.Queued(), len(running), len(session))
+			}
+		}
+	})
+}
+
+// Random schedules with several agents, copies of requests, late and repeated
+// messages and kills, over many requests at once.
+func TestLedgerSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := Limits{
+			Entries: rapid.IntRange(0, 4).Draw(t, "entries"), Bytes: 1 << 12, Body: 64,
+			Lifetime: time.Duration(rapid.IntRange(1, 20).Draw(t, "lifetime")) * time.Second,
+		}
+		shared := newWorld(limits, true).agents
+		var worlds []*world
+		for i := range 3 {
+			worlds = append(worlds, newWorldAt(shared, fmt.Sprint("request ", i), limits, true))
+		}
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			w := worlds[rapid.IntRange(0, len(worlds)-1).Draw(t, "request")]
+			w.step(rapid.IntRange(0, w.choices()-1).Draw(t, "event"))
+			for i, w := range worlds {
+				if broken := w.broken(); broken != "" {
+					t.Fatalf("request %d %s", i, broken)
+				}
+			}
+		}
+	})
+}
+
+func ExampleLedger() {
+	l := NewLedger(DefaultLimits)
+	first, _ := l.Begin(1*time.Second, "hold-1", 0)
+	l.Finish(2*time.Second, "hold-1", Answer{Status: 201})
+	retry, answer := l.Begin(3*time.Second, "hold-1", 0)
+	fmt.Println(first == Run, retry == Replay, answer.Status)
+	// Output: true true 201
+}
+
+func BenchmarkLedger(b *testing.B) {
+	l := NewLedger(Limits{Entries: 1 << 30, Bytes: 1 << 30, Body: 1000, Lifetime: time.Minute})
+	now := time.Duration(0)
+	keys := make([]string, 1<<16)
+	for i := range keys {
+		keys[i] = fmt.Sprintf("key-%026d", i)
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		now += time.Millisecond
+		key := keys[i%len(keys)]
+		l.Begin(now, key, now)
+		l.Finish(now, key, Answer{Status: 200, Body: filler[:100]})
+		i++
+	}
+}
+
+var filler = slices.Repeat([]byte("x"), 200)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -16,6 +16,7 @@
 
 // Timing holds the intervals that a Roster judges members by.
 type Timing struct {
+	QuietAfter   time.Duration // silence of an observed agent after which it is asked by other means
 	SuspectAfter time.Duration // silence of an observed agent, or of a balancer that was asked
 	AdoptAfter   time.Duration // grace for an agent whose observer this daemon has become
 	GoneAfter    time.Duration // time as suspect
@@ -25,6 +26,7 @@
 // DefaultTiming keeps the time from a target's death to its removal from
 // placement under three seconds.
 var DefaultTiming = Timing{
+	QuietAfter:   900 * time.Millisecond,
 	SuspectAfter: 1800 * time.Millisecond,
 	AdoptAfter:   5 * time.Second,
 	GoneAfter:    10 * time.Second,
@@ -49,6 +51,10 @@
 	buckets [BucketCount]uint64
 	version uint64
 
+	awaiting  map[netip.AddrPort]bool // balancers that owe an answer
+	watched   []netip.AddrPort        // members that time may change, as of watchedAt
+	watchedAt uint64
+
 	balancers uint64              // version of the set of live balancers
 	chosen    map[uint16][]Member // observers by service, as of chosenAt
 	chosenAt  uint64
@@ -56,7 +62,7 @@
 
 // New returns an empty roster.
 func New(timing Timing, source *rand.Rand) *Roster {
-	return &Roster{timing: timing, rand: source, entries: make(map[netip.AddrPort]*entry)}
+	return &Roster{timing: timing, rand: source, entries: make(map[netip.AddrPort]*entry), awaiting: make(map[netip.AddrPort]bool)}
 }
 
 // Version rises with every change that placement or digests can see.
@@ -103,16 +109,20 @@
 func (r *Roster) Await(now time.Time, a netip.AddrPort) {
 	if e := r.entries[a]; e != nil && e.awaited.IsZero() {
 		e.awaited = now
+		r.awaiting[a] = true
 	}
 }
 
 // Awaited returns the live balancers that owe an answer.
 func (r *Roster) Awaited() []netip.AddrPort {
 	var owing []netip.AddrPort
-	for a, e := range r.entries {
-		if !e.awaited.IsZero() && Live(&e.member) {
-			owing = append(owing, a)
+	for a := range r.awaiting {
+		e := r.entries[a]
+		if e == nil || e.awaited.IsZero() || !Live(&e.member) {
+			delete(r.awaiting, a)
+			continue
 		}
+		owing = append(owing, a)
 	}
 	slices.SortFunc(owing, netip.AddrPort.Compare)
 	return owing
@@ -141,7 +151,43 @@
 // Tick judges the members that self observes, forgets those gone for long, and
 // returns the records that changed.
 func (r *Roster) Tick(now time.Time, self netip.AddrPort) []Member {
+	r.watch(now, self)
 	var changed []Member
+	for _, a := range r.watched {
+		changed = append(changed, r.tick(now, a)...)
+	}
+	for _, a := range r.Awaited() {
+		changed = append(changed, r.tick(now, a)...)
+	}
+	return changed
+}
+
+func (r *Roster) tick(now time.Time, a netip.AddrPort) []Member {
+	e := r.entries[a]
+	if e == nil {
+		return nil
+	}
+	next, due := r.judge(now, e)
+	if !due {
+		return nil
+	}
+	if next == 0 {
+		r.forget(a, e)
+		return nil
+	}
+	m := e.member
+	m.State = next
+	r.replace(now, e, m)
+	return []Member{m}
+}
+
+// Finds the members that time may change: the agents that self observes, and
+// whoever is suspect, gone or left. They change only with the records.
+func (r *Roster) watch(now time.Time, self netip.AddrPort) {
+	if r.watchedAt == r.version {
+		return
+	}
+	r.watched, r.watchedAt = r.watched[:0], r.version
 	for a, e := range r.entries {
 		if a == self {
 			continue
@@ -149,21 +195,36 @@
 		if e.member.Role == Agent && Live(&e.member) {
 			r.adopt(now, e, self)
 		}
-		next, due := r.judge(now, e)
-		if !due {
-			continue
+		if !Live(&e.member) || !e.heard.IsZero() {
+			r.watched = append(r.watched, a)
 		}
-		if next == 0 {
-			r.forget(a, e)
+	}
+	slices.SortFunc(r.watched, netip.AddrPort.Compare)
+}
+
+// Quiet returns the agents under observation, as of the last Tick, that have
+// missed a heartbeat.
+func (r *Roster) Quiet(now time.Time) (quiet []Member) {
+	for _, a := range r.watched {
+		e := r.entries[a]
+		if e == nil || e.member.Role != Agent || e.member.State >= Gone || e.heard.IsZero() {
 			continue
 		}
-		m := e.member
-		m.State = next
-		r.replace(now, e, m)
-		changed = append(changed, m)
+		if now.Sub(e.heard) > r.timing.QuietAfter {
+			quiet = append(quiet, e.member)
+		}
 	}
-	slices.SortFunc(changed, func(a, b Member) int { return a.Addr.Compare(b.Addr) })
-	return changed
+	return quiet
+}
+
+// Ended notes that the incarnation of a member has ended for certain.
+func (r *Roster) Ended(now time.Time, a netip.AddrPort, incarnation uint64) bool {
+	m, ok := r.Get(a)
+	if !ok || m.Incarnation != incarnation {
+		return false
+	}
+	m.State = Left
+	return r.Apply(now, m)
 }
 
 // Starts to judge an agent when self has become its observer, and stops when
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,266 @@
+package roster
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/go-quicktest/qt"
+)
+
+var epoch = time.Unix(1_800_000_000, 0)
+
+func addrOf(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7400)
+}
+
+func balancer(i int) Member {
+	return Member{Role: Balancer, State: Ready, Name: fmt.Sprint("balancer-", i), Zone: fmt.Sprint("az", i%3), Addr: addrOf(i), Incarnation: 1, Seq: 1}
+}
+
+func agent(i int, service uint16) Member {
+	return Member{Role: Agent, State: Ready, Name: fmt.Sprint("agent-", i), Zone: fmt.Sprint("az", i%3), Addr: addrOf(100_000 + i), Service: service, Incarnation: 1, Seq: 1, Warmth: 100}
+}
+
+func newRoster(seed uint64) *Roster { return New(DefaultTiming, rand.New(rand.NewPCG(seed, seed))) }
+
+func stateOf(t *testing.T, r *Roster, a netip.AddrPort) State {
+	t.Helper()
+	m, ok := r.Get(a)
+	qt.Assert(t, qt.IsTrue(ok))
+	return m.State
+}
+
+func TestSupersedes(t *testing.T) {
+	base := agent(1, 17)
+	with := func(incarnation uint64, seq uint32, s State) Member {
+		m := base
+		m.Incarnation, m.Seq, m.State = incarnation, seq, s
+		return m
+	}
+	for _, c := range []struct {
+		name     string
+		new, old Member
+		want     bool
+	}{
+		{"higher incarnation", with(2, 1, Ready), with(1, 9, Gone), true},
+		{"lower incarnation", with(1, 9, Left), with(2, 1, Ready), false},
+		{"higher sequence", with(1, 2, Ready), with(1, 1, Suspect), true},
+		{"lower sequence", with(1, 1, Suspect), with(1, 2, Ready), false},
+		{"suspicion", with(1, 1, Suspect), with(1, 1, Ready), true},
+		{"end after suspicion", with(1, 1, Left), with(1, 1, Suspect), true},
+		{"own state without a new sequence", with(1, 1, Draining), with(1, 1, Ready), false},
+		{"the same", with(1, 1, Ready), with(1, 1, Ready), false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			qt.Check(t, qt.Equals(c.new.Supersedes(&c.old), c.want))
+		})
+	}
+}
+
+// Records that arrive in any order, and twice, leave the same view.
+func TestApplyIsOrderFree(t *testing.T) {
+	var records []Member
+	for i := range 5 {
+		for seq := range uint32(4) {
+			m := agent(i, 17)
+			m.Seq = seq
+			m.State = State(1 + (i+int(seq))%6)
+			records = append(records, m)
+		}
+	}
+	want := uint64(0)
+	random := rand.New(rand.NewPCG(1, 1))
+	for round := range 50 {
+		r := newRoster(1)
+		shuffled := append(append([]Member{}, records...), records...)
+		random.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
+		for _, m := range shuffled {
+			r.Apply(epoch, m)
+		}
+		if round == 0 {
+			want = r.Digest()
+		}
+		qt.Assert(t, qt.Equals(r.Digest(), want))
+	}
+}
+
+func TestSilentAgentIsSuspectedAndTakesItBack(t *testing.T) {
+	r := newRoster(1)
+	self := balancer(1)
+	r.Apply(epoch, self)
+	m := agent(1, 17)
+	r.Heard(epoch, m)
+
+	quiet := epoch.Add(DefaultTiming.QuietAfter + 1)
+	qt.Check(t, qt.HasLen(r.Tick(quiet, self.Addr), 0))
+	qt.Check(t, qt.HasLen(r.Quiet(quiet), 1))
+
+	late := epoch.Add(DefaultTiming.SuspectAfter + 1)
+	qt.Check(t, qt.HasLen(r.Tick(late, self.Addr), 1))
+	qt.Check(t, qt.Equals(stateOf(t, r, m.Addr), Suspect))
+	qt.Check(t, qt.IsFalse(r.Heard(late, m))) // the same record doesn't take it back
+	m.Seq++
+	qt.Check(t, qt.IsTrue(r.Heard(late, m)))
+	qt.Check(t, qt.Equals(stateOf(t, r, m.Addr), Ready))
+}
+
+func TestSuspectIsGoneAndForgotten(t *testing.T) {
+	r := newRoster(1)
+	self := balancer(1)
+	r.Apply(epoch, self)
+	m := agent(1, 17)
+	r.Heard(epoch, m)
+	now := epoch.Add(DefaultTiming.SuspectAfter + 1)
+	r.Tick(now, self.Addr)
+	now = now.Add(DefaultTiming.GoneAfter + 1)
+	r.Tick(now, self.Addr)
+	qt.Check(t, qt.Equals(stateOf(t, r, m.Addr), Gone))
+	now = now.Add(DefaultTiming.ForgetAfter + 1)
+	r.Tick(now, self.Addr)
+	_, ok := r.Get(m.Addr)
+	qt.Check(t, qt.IsFalse(ok))
+	only := newRoster(2)
+	only.Apply(epoch, self)
+	qt.Check(t, qt.Equals(r.Digest(), only.Digest()))
+}
+
+// A balancer that no longer observes an agent must not suspect it, and one that
+// has become its observer must, after a grace.
+func TestObserversChange(t *testing.T) {
+	r := newRoster(1)
+	self := balancer(1)
+	r.Apply(epoch, self)
+	m := agent(1, 17)
+	r.Heard(epoch, m)
+	for i := 2; i < 40; i++ {
+		r.Apply(epoch, balancer(i))
+	}
+	service := uint16(17)
+	for contains(r.Observers(service, ObserverCount), self.Addr) {
+		service++
+	}
+	m.Service, m.Seq = service, 2
+	r.Heard(epoch, m)
+	qt.Check(t, qt.HasLen(r.Tick(epoch.Add(time.Minute), self.Addr), 0))
+
+	now := epoch.Add(time.Minute)
+	for _, o := range r.Observers(service, ObserverCount) {
+		o.State = Left
+		r.Apply(now, o)
+	}
+	for !contains(r.Observers(service, ObserverCount), self.Addr) {
+		o := r.Observers(service, ObserverCount)[0]
+		o.State = Left
+		r.Apply(now, o)
+	}
+	qt.Check(t, qt.HasLen(r.Tick(now, self.Addr), 0))
+	qt.Check(t, qt.HasLen(r.Tick(now.Add(DefaultTiming.AdoptAfter), self.Addr), 0))
+	suspected := r.Tick(now.Add(DefaultTiming.AdoptAfter+DefaultTiming.SuspectAfter+1), self.Addr)
+	qt.Check(t, qt.HasLen(suspected, 1))
+}
+
+func TestObserversAreInTwoZones(t *testing.T) {
+	r := newRoster(1)
+	for i := range 30 {
+		r.Apply(epoch, balancer(i))
+	}
+	for service := range uint16(500) {
+		o := r.Observers(service, ObserverCount)
+		qt.Assert(t, qt.HasLen(o, ObserverCount))
+		qt.Assert(t, qt.Not(qt.Equals(o[0].Zone, o[1].Zone)))
+	}
+}
+
+func TestAwaitedBalancerIsSuspected(t *testing.T) {
+	r := newRoster(1)
+	self, other := balancer(1), balancer(2)
+	r.Apply(epoch, self)
+	r.Apply(epoch, other)
+	r.Await(epoch, other.Addr)
+	qt.Check(t, qt.HasLen(r.Awaited(), 1))
+	r.Heard(epoch.Add(time.Second), other)
+	qt.Check(t, qt.HasLen(r.Awaited(), 0))
+	qt.Check(t, qt.HasLen(r.Tick(epoch.Add(time.Hour), self.Addr), 0))
+	r.Await(epoch.Add(time.Hour), other.Addr)
+	qt.Check(t, qt.HasLen(r.Tick(epoch.Add(time.Hour+DefaultTiming.SuspectAfter+1), self.Addr), 1))
+}
+
+func TestEndedIsCertainForThatIncarnationOnly(t *testing.T) {
+	r := newRoster(1)
+	m := agent(1, 17)
+	r.Apply(epoch, m)
+	qt.Check(t, qt.IsFalse(r.Ended(epoch, m.Addr, m.Incarnation+1)))
+	qt.Check(t, qt.IsTrue(r.Ended(epoch, m.Addr, m.Incarnation)))
+	qt.Check(t, qt.IsTrue(stateOf(t, r, m.Addr).Certain()))
+	m.Incarnation++
+	qt.Check(t, qt.IsTrue(r.Apply(epoch, m)))
+	qt.Check(t, qt.IsFalse(r.Ended(epoch, m.Addr, m.Incarnation-1)))
+}
+
+// Two views that were cut off from each other become equal by exchanging the
+// records of the buckets that differ, without a full copy.
+func TestRepairAfterCut(t *testing.T) {
+	a, b := newRoster(1), newRoster(2)
+	for i := range 2000 {
+		a.Apply(epoch, agent(i, uint16(i/3)))
+		b.Apply(epoch, agent(i, uint16(i/3)))
+	}
+	for i := range 20 {
+		m := agent(i*7, uint16(i*7/3))
+		m.Seq = 2
+		if i%2 == 0 {
+			a.Apply(epoch, m)
+		} else {
+			b.Apply(epoch, m)
+		}
+	}
+	qt.Assert(t, qt.Not(qt.Equals(a.Digest(), b.Digest())))
+	sent := 0
+	for _, m := range a.Differing(b.Buckets(), 10_000) {
+		b.Apply(epoch, m)
+		sent++
+	}
+	for _, m := range b.Differing(a.Buckets(), 10_000) {
+		a.Apply(epoch, m)
+		sent++
+	}
+	qt.Check(t, qt.Equals(a.Digest(), b.Digest()))
+	qt.Check(t, qt.IsTrue(sent < 2000), qt.Commentf("%d records sent", sent))
+}
+
+func TestDeltasStop(t *testing.T) {
+	r := newRoster(1)
+	for i := range 100 {
+		r.Apply(epoch, balancer(i))
+	}
+	total := 0
+	for range 1000 {
+		n := len(r.Deltas(7))
+		total += n
+		if n == 0 {
+			break
+		}
+	}
+	qt.Check(t, qt.HasLen(r.Deltas(7), 0))
+	qt.Check(t, qt.IsTrue(total >= 100))
+	qt.Check(t, qt.IsTrue(total <= 100*3*9))
+}
+
+func BenchmarkTick(b *testing.B) {
+	r := newRoster(1)
+	for i := range 820 {
+		r.Apply(epoch, balancer(i))
+	}
+	for i := range 6000 {
+		r.Apply(epoch, agent(i, uint16(i/3)))
+	}
+	self := balancer(1)
+	r.Tick(epoch, self.Addr)
+	b.ReportAllocs()
+	for b.Loop() {
+		r.Tick(epoch, self.Addr)
+	}
+}
