Bring control traffic and processor time of a balancer down at region size

Cause, by skylark-stand capacity (new; a balancer process among 6,820 members and 2,000 services played by a feeder) and a profile: records learnt from a full copy were gossiped again, each balancer's heartbeat answers listed all members to find a service's three, and the health probe copied all members.

Change: records from repairs and copies are absorbed without being spread; agents are indexed by service, live balancers and counts are kept; an agent asks for an answer only when it needs one, and beats each 900 ms.

--- a/cmd/skylark-stand/main.go
+++ b/cmd/skylark-stand/main.go
@@ -12,6 +12,7 @@
 	"os/signal"
 	"path/filepath"
 	"text/tabwriter"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -28,9 +29,10 @@
 )
 
 type cli struct {
-	Demo    demoCmd          `cmd:"" help:"Run both tenants of the brief in one process for some 20 s."`
-	Run     runCmd           `cmd:"" help:"Run the experiment of a TOML file with the built programs as processes."`
-	Version kong.VersionFlag `help:"Print the version and exit."`
+	Demo     demoCmd          `cmd:"" help:"Run both tenants of the brief in one process for some 20 s."`
+	Run      runCmd           `cmd:"" help:"Run the experiment of a TOML file with the built programs as processes."`
+	Capacity capacityCmd      `cmd:"" help:"Measure the slopes of docs/CAPACITY.md with the built programs."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
 var errBroken = errors.New("a promise was broken")
@@ -84,25 +86,72 @@
 	if err := settings.Load(c.File, &e); err != nil {
 		return err
 	}
-	if c.Bin == "" {
+	bin, err := binDir(c.Bin)
+	if err != nil {
+		return err
+	}
+	return run(ctx, &e, bin, c.JSON)
+}
+
+// Returns the directory of the built programs.
+func binDir(dir string) (string, error) {
+	if dir == "" {
 		self, err := os.Executable()
 		if err != nil {
-			return err
+			return "", err
+		}
+		dir = filepath.Dir(self)
+	}
+	for _, name := range []string{"skylark-balancer", "skylark-agent"} {
+		if _, err := os.Stat(filepath.Join(dir, name)); err != nil {
+			return "", fmt.Errorf("%w; build the programs with: go build -o bin ./cmd/...", err)
 		}
-		c.Bin = filepath.Dir(self)
 	}
-	return run(ctx, &e, c.Bin, c.JSON)
+	return dir, nil
 }
 
+type capacityCmd struct {
+	Bin      string        `help:"Directory of skylark-balancer and skylark-agent; the one of this program when empty." type:"path"`
+	Window   time.Duration `help:"Time over which a process is measured." default:"10s"`
+	Sessions int           `help:"Sessions of the measured agent." default:"400"`
+	JSON     bool          `help:"Print the slopes as one JSON array."`
+}
+
+// Run measures the slopes.
+func (c *capacityCmd) Run(ctx context.Context) (err error) {
+	bin, err := binDir(c.Bin)
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "skylark-stand")
+	if err != nil {
+		return err
+	}
+	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
+	slopes, err := standin.Capacity(ctx, standin.CapacityOptions{Dir: dir, Bin: bin, Window: c.Window, Sessions: c.Sessions, Progress: progress})
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(slopes)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(w, "SLOPE\tSIZE\tVALUE\tUNIT")
+	for _, s := range slopes {
+		fmt.Fprintf(w, "%s\t%s\t%.4g\t%s\n", s.Name, s.Size, s.Value, s.Unit)
+	}
+	return w.Flush()
+}
+
+func progress(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) }
+
 func run(ctx context.Context, e *standin.Experiment, bin string, asJSON bool) (err error) {
 	dir, err := os.MkdirTemp("", "skylark-stand")
 	if err != nil {
 		return err
 	}
 	defer func() { err = errors.Join(err, os.RemoveAll(dir)) }()
-	r, err := e.Run(ctx, standin.RunOptions{Dir: dir, Bin: bin, Progress: func(format string, args ...any) {
-		fmt.Fprintf(os.Stderr, format+"\n", args...)
-	}})
+	r, err := e.Run(ctx, standin.RunOptions{Dir: dir, Bin: bin, Progress: progress})
 	if err != nil {
 		return err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -61,7 +61,8 @@
 	target    *target.Target
 	catalog   *service.Catalog
 	observers []netip.AddrPort
-	beaten    time.Time
+	beaten    time.Time // last heartbeat
+	answered  time.Time // last answer of an observer
 }
 
 // Option changes how New builds an agent.
--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -13,11 +13,11 @@
 
 const (
 	tickEvery     = 200 * time.Millisecond
-	beatEvery     = 600 * time.Millisecond
+	beatEvery     = 900 * time.Millisecond
+	answerEvery   = 1500 * time.Millisecond // time after an observer's answer from which another is asked for
 	fetchTimeout  = 2 * time.Second
 	sweepEvery    = 25 // ticks
 	reloadEvery   = 50 // ticks
-	entryEvery    = 10 // beats between announcements through the fabric
 	farewellCount = 2
 )
 
@@ -62,6 +62,7 @@
 	}
 	a.beaten = now
 	m := a.heartbeat(changed)
+	m.Unknown = changed || now.Sub(a.answered) > answerEvery
 	to := a.destinations(now)
 	a.mu.Unlock()
 	for _, d := range to {
@@ -137,6 +138,7 @@
 	a.conn.heard(now, m.From.Addr)
 	a.mu.Lock()
 	a.target.Answered(now)
+	a.answered = now
 	for _, r := range m.Members {
 		if r.Addr != a.me.Addr {
 			a.members.Apply(now, r)
@@ -273,8 +275,8 @@
 func (a *Agent) rivals() (self target.Rival, others []target.Rival) {
 	self = a.rival(&a.me)
 	self.Sessions = uint32(a.sessions.Load())
-	for _, m := range a.members.Members(func(m *roster.Member) bool { return m.State == roster.Ready }) {
-		if m.Addr != a.me.Addr && m.Service == a.cfg.Number {
+	for _, m := range a.members.Agents(a.cfg.Number) {
+		if m.Addr != a.me.Addr && m.State == roster.Ready {
 			others = append(others, a.rival(&m))
 		}
 	}
--- a/internal/balancer/config.go
+++ b/internal/balancer/config.go
@@ -70,7 +70,7 @@
 		b.mu.Lock()
 		defer b.mu.Unlock()
 		for _, m := range members {
-			b.learn(time.Now(), m)
+			b.learn(time.Now(), m, false)
 		}
 		return
 	}
@@ -114,7 +114,7 @@
 		b.spread[s.Number] = spreadTransmits
 		b.rebuild()
 		generations := []control.Generation{{Service: s.Number, Number: s.Generation}}
-		for _, p := range b.members.Peers(b.self, gossipFanout) {
+		for _, p := range b.members.Peers(b.self, roster.Fanout) {
 			out = append(out, outgoing{p.Addr, b.gossipMessage(time.Now(), nil, generations)})
 		}
 	}
--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -13,7 +13,6 @@
 const (
 	membersPerMessage     = 7
 	generationsPerMessage = 60
-	gossipFanout          = 3
 	probeEvery            = 5 // ticks
 	introduceEvery        = 5 // ticks between attempts to find a first peer
 	reintroduceEvery      = 50
@@ -83,7 +82,7 @@
 	deltas := b.members.Deltas(membersPerMessage)
 	generations := b.takeSpread()
 	if len(deltas) > 0 || len(generations) > 0 {
-		for _, p := range b.members.Peers(b.self, gossipFanout) {
+		for _, p := range b.members.Peers(b.self, roster.Fanout) {
 			out = append(out, outgoing{p.Addr, b.gossipMessage(now, deltas, generations)})
 		}
 	}
@@ -184,37 +183,47 @@
 	}
 }
 
-// Answers an agent with what it needs to know of its service.
+// Takes a heartbeat, and answers it when the agent asks or when what it knows is
+// not what is known here.
 func (b *Balancer) heartbeat(now time.Time, m *control.Message) []outgoing {
 	b.counters.heartbeats.Inc()
 	b.members.Heard(now, m.From)
 	number := m.From.Service
-	if m.From.Generation > b.catalog.Generation(number) {
+	generation := b.catalog.Generation(number)
+	if m.From.Generation > generation {
 		b.want(pull{from: m.From.Addr, numbers: []uint16{number}})
 	}
 	known, _ := b.members.Get(m.From.Addr)
+	digest := b.members.ServiceDigest(number)
+	current := known.Name != "" && known.State == m.From.State && generation <= m.From.Generation && digest == m.Digest
+	if current && !m.Unknown {
+		return nil
+	}
+	out := []outgoing{{m.From.Addr, b.ack(&known, generation, digest)}}
+	if digest != m.Digest {
+		out = append(out, b.inChunks(m.From.Addr, control.Ack, b.members.Agents(number))...)
+	}
+	return out
+}
+
+func (b *Balancer) ack(agent *roster.Member, generation uint32, digest uint64) *control.Message {
 	ack := &control.Message{
 		Kind:        control.Ack,
 		From:        b.lean(),
-		Unknown:     known.Name == "",
-		Believed:    known.State,
-		Generations: []control.Generation{{Service: number, Number: b.catalog.Generation(number)}},
-		Digest:      b.members.ServiceDigest(number),
+		Unknown:     agent.Name == "",
+		Believed:    agent.State,
+		Generations: []control.Generation{{Service: agent.Service, Number: generation}},
+		Digest:      digest,
 	}
-	for _, o := range b.members.Observers(number, roster.ObserverCount) {
+	for _, o := range b.members.Observers(agent.Service, roster.ObserverCount) {
 		ack.Observers = append(ack.Observers, o.Addr)
 	}
-	agents := b.agentsOf(number)
-	for _, a := range agents {
-		if a.Addr != m.From.Addr && roster.Live(&a) {
+	for _, a := range b.members.Agents(agent.Service) {
+		if a.Addr != agent.Addr && roster.Live(&a) {
 			ack.Loads = append(ack.Loads, control.Load{Addr: a.Addr, Sessions: a.Sessions})
 		}
 	}
-	out := []outgoing{{m.From.Addr, ack}}
-	if ack.Digest != m.Digest {
-		out = append(out, b.inChunks(m.From.Addr, control.Ack, agents)...)
-	}
-	return out
+	return ack
 }
 
 // Returns the balancer's record without what rarely changes.
@@ -224,12 +233,6 @@
 	return me
 }
 
-func (b *Balancer) agentsOf(number uint16) []roster.Member {
-	return b.members.Members(func(m *roster.Member) bool {
-		return m.Role == roster.Agent && m.Service == number
-	})
-}
-
 func (b *Balancer) inChunks(to netip.AddrPort, kind control.Kind, members []roster.Member) (out []outgoing) {
 	for len(members) > 0 {
 		n := min(membersPerMessage, len(members))
@@ -244,7 +247,7 @@
 		b.members.Heard(now, m.From)
 	}
 	for _, r := range m.Members {
-		b.learn(now, r)
+		b.learn(now, r, !m.Reply)
 	}
 	b.learnGenerations(m)
 	b.learnChecked(now, m)
@@ -264,11 +267,15 @@
 	return out
 }
 
-// Takes a record that another balancer sent; false news of this balancer's own
-// end is taken back.
-func (b *Balancer) learn(now time.Time, m roster.Member) {
+// Takes a record that another balancer sent and, if it is fresh news, has it
+// spread further. False news of this balancer's own end is taken back.
+func (b *Balancer) learn(now time.Time, m roster.Member, fresh bool) {
 	if m.Addr != b.self {
-		b.members.Apply(now, m)
+		if fresh {
+			b.members.Apply(now, m)
+		} else {
+			b.members.Absorb(now, m)
+		}
 		return
 	}
 	if m.Incarnation == b.me.Incarnation && m.State >= roster.Suspect && m.Seq >= b.me.Seq && b.me.State < roster.Suspect {
@@ -379,7 +386,7 @@
 	b.me.State = roster.Left
 	m := b.gossipMessage(time.Now(), nil, nil)
 	m.Reply = true
-	peers := b.members.Peers(b.self, gossipFanout)
+	peers := b.members.Peers(b.self, roster.Fanout)
 	b.mu.Unlock()
 	for _, p := range peers {
 		b.send(p.Addr, m)
--- a/internal/balancer/operators.go
+++ b/internal/balancer/operators.go
@@ -159,16 +159,9 @@
 		ConfigCurrent: !b.checked.IsZero() && time.Since(b.checked) < currentFor,
 	}
 	v.ConfigDigest = fmt.Sprintf("%016x", b.catalog.Digest())
-	for _, m := range b.members.Members(roster.Live) {
-		if m.Role == roster.Balancer {
-			v.Balancers++
-		} else {
-			v.Agents++
-			if m.State == roster.Ready {
-				v.Ready++
-			}
-		}
-	}
+	v.Balancers = b.members.Count(roster.Balancer, roster.Starting, roster.Ready, roster.Draining)
+	v.Agents = b.members.Count(roster.Agent, roster.Starting, roster.Ready, roster.Draining)
+	v.Ready = b.members.Count(roster.Agent, roster.Ready)
 	b.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v) // the prober's connection is gone
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -52,7 +52,7 @@
 	Hashes      []uint64         `cbor:"15,keyasint,omitempty"` // of the sender's records in Bucket
 	Count       int              `cbor:"16,keyasint,omitempty"` // number of the sender's members
 	Reply       bool             `cbor:"8,keyasint,omitempty"`  // asks for no answer of its own
-	Unknown     bool             `cbor:"9,keyasint,omitempty"`  // the sender wants the receiver's full record
+	Unknown     bool             `cbor:"9,keyasint,omitempty"`  // the sender wants an answer: the receiver's record or, from an agent, an Ack
 	Loads       []Load           `cbor:"10,keyasint,omitempty"`
 	Observers   []netip.AddrPort `cbor:"11,keyasint,omitempty"` // balancers that the agent is to send heartbeats to
 	CheckedAgo  uint32           `cbor:"13,keyasint,omitempty"` // milliseconds since the sender's configuration was known to be the platform's; 0 is unknown
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -26,8 +26,8 @@
 // DefaultTiming keeps the time from a target's death to its removal from
 // placement under three seconds.
 var DefaultTiming = Timing{
-	QuietAfter:   900 * time.Millisecond,
-	SuspectAfter: 1800 * time.Millisecond,
+	QuietAfter:   1200 * time.Millisecond,
+	SuspectAfter: 2 * time.Second,
 	AdoptAfter:   5 * time.Second,
 	GoneAfter:    10 * time.Second,
 	ForgetAfter:  10 * time.Minute,
@@ -51,6 +51,10 @@
 	buckets [BucketCount]uint64
 	version uint64
 
+	counts    [Agent + 1][Left + 1]int
+	agents    map[uint16][]netip.AddrPort // by service, in order
+	live      []Member                    // balancers, as of liveAt
+	liveAt    uint64
 	awaiting  map[netip.AddrPort]bool // balancers that owe an answer
 	watched   []netip.AddrPort        // members that time may change, as of watchedAt
 	watchedAt uint64
@@ -62,7 +66,7 @@
 
 // New returns an empty roster.
 func New(timing Timing, source *rand.Rand) *Roster {
-	return &Roster{timing: timing, rand: source, entries: make(map[netip.AddrPort]*entry), awaiting: make(map[netip.AddrPort]bool)}
+	return &Roster{timing: timing, rand: source, entries: make(map[netip.AddrPort]*entry), agents: make(map[uint16][]netip.AddrPort), awaiting: make(map[netip.AddrPort]bool)}
 }
 
 // Version rises with every change that placement or digests can see.
@@ -91,8 +95,19 @@
 	return changed
 }
 
-// Apply takes a record, whoever sent it, and reports whether it was news.
+// Apply takes a record, whoever sent it, and reports whether it was news, which
+// is then spread further.
 func (r *Roster) Apply(now time.Time, m Member) bool {
+	if !r.Absorb(now, m) {
+		return false
+	}
+	r.spread(r.entries[m.Addr])
+	return true
+}
+
+// Absorb takes a record that most others have, as from a repair or a full copy,
+// and reports whether it was news; it is not spread further.
+func (r *Roster) Absorb(now time.Time, m Member) bool {
 	e := r.entries[m.Addr]
 	if e == nil {
 		e = &entry{}
@@ -135,18 +150,73 @@
 	if m.Role == Balancer && (e.member.Incarnation != m.Incarnation || Live(&e.member) != Live(&m)) {
 		r.balancers++
 	}
+	r.index(&e.member, &m)
+	r.count(&e.member, -1)
+	r.count(&m, 1)
 	e.member = m
 	e.changed = now
 	r.buckets[bucketOf(m.Addr)] ^= m.hash()
 	r.version++
+}
+
+func (r *Roster) count(m *Member, n int) {
+	if m.Addr.IsValid() && m.Role <= Agent && m.State <= Left {
+		r.counts[m.Role][m.State] += n
+	}
+}
+
+// Count returns the number of members of a role in any of the states.
+func (r *Roster) Count(role Role, states ...State) (n int) {
+	for _, s := range states {
+		n += r.counts[role][s]
+	}
+	return n
+}
+
+// Keeps the agents of each service in order.
+func (r *Roster) index(old, m *Member) {
+	if old.Addr.IsValid() && old.Role == m.Role && old.Service == m.Service {
+		return
+	}
+	if old.Role == Agent {
+		r.unindex(old)
+	}
+	if m.Role == Agent {
+		list := r.agents[m.Service]
+		i, _ := slices.BinarySearchFunc(list, m.Addr, netip.AddrPort.Compare)
+		r.agents[m.Service] = slices.Insert(list, i, m.Addr)
+	}
+}
+
+func (r *Roster) unindex(m *Member) {
+	list := r.agents[m.Service]
+	i, ok := slices.BinarySearchFunc(list, m.Addr, netip.AddrPort.Compare)
+	if !ok {
+		return
+	}
+	list = slices.Delete(list, i, i+1)
+	if len(list) == 0 {
+		delete(r.agents, m.Service)
+		return
+	}
+	r.agents[m.Service] = list
+}
+
+func (r *Roster) spread(e *entry) {
 	if e.sends == 0 {
-		r.pending = append(r.pending, m.Addr)
+		r.pending = append(r.pending, e.member.Addr)
 	}
 	e.sends = r.transmissions()
 }
 
-// Each record is sent about 3·log2(n) times by each member that learns it.
-func (r *Roster) transmissions() int { return 3 * (bits.Len(uint(len(r.entries))) + 1) }
+// Fanout is the number of peers that each transmission of deltas goes to.
+const Fanout = 3
+
+// Each member that learns a record sends it to about 2·log2(n) peers; repair
+// finds those whom that misses.
+func (r *Roster) transmissions() int {
+	return (2*bits.Len(uint(len(r.entries))) + Fanout - 1) / Fanout
+}
 
 // Tick judges the members that self observes, forgets those gone for long, and
 // returns the records that changed.
@@ -178,6 +248,7 @@
 	m := e.member
 	m.State = next
 	r.replace(now, e, m)
+	r.spread(e)
 	return []Member{m}
 }
 
@@ -255,21 +326,33 @@
 	return 0, false
 }
 
-// ServiceDigest returns a hash over the records of a service's agents.
+// ServiceDigest returns a hash over the records of a service's live agents.
 func (r *Roster) ServiceDigest(service uint16) uint64 {
 	var d uint64
-	for _, e := range r.entries {
-		if e.member.Role == Agent && e.member.Service == service {
-			d ^= e.member.hash()
+	for _, a := range r.agents[service] {
+		if m := &r.entries[a].member; Live(m) {
+			d ^= m.hash()
 		}
 	}
 	return d
 }
 
+// Agents returns the agents of a service, those gone included, in order.
+func (r *Roster) Agents(service uint16) []Member {
+	list := make([]Member, 0, len(r.agents[service]))
+	for _, a := range r.agents[service] {
+		list = append(list, r.entries[a].member)
+	}
+	return list
+}
+
 func (r *Roster) forget(a netip.AddrPort, e *entry) {
 	r.buckets[bucketOf(a)] ^= e.member.hash()
+	r.count(&e.member, -1)
 	if e.member.Role == Balancer {
 		r.balancers++
+	} else {
+		r.unindex(&e.member)
 	}
 	delete(r.entries, a)
 	r.version++
@@ -325,13 +408,40 @@
 // Live reports whether the member counts as here for control messages.
 func Live(m *Member) bool { return m.State < Suspect }
 
+// Balancers returns the live balancers in order; the caller must not change the
+// slice.
+func (r *Roster) Balancers() []Member {
+	if r.live == nil || r.liveAt != r.balancers {
+		r.live = r.Members(func(m *Member) bool { return m.Role == Balancer && Live(m) })
+		r.liveAt = r.balancers
+	}
+	return r.live
+}
+
 // Peers returns up to n live balancers chosen at random, other than self.
 func (r *Roster) Peers(self netip.AddrPort, n int) []Member {
-	peers := r.Members(func(m *Member) bool {
-		return m.Role == Balancer && m.Addr != self && Live(m)
-	})
-	r.rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	return peers[:min(n, len(peers))]
+	all := r.Balancers()
+	peers := make([]Member, 0, n)
+	for _, i := range r.sample(len(all), n+1) {
+		if all[i].Addr != self && len(peers) < n {
+			peers = append(peers, all[i])
+		}
+	}
+	return peers
+}
+
+// Returns up to k different numbers below n at random.
+func (r *Roster) sample(n, k int) []int {
+	if k >= n {
+		return r.rand.Perm(n)
+	}
+	chosen := make([]int, 0, k)
+	for len(chosen) < k {
+		if i := r.rand.IntN(n); !slices.Contains(chosen, i) {
+			chosen = append(chosen, i)
+		}
+	}
+	return chosen
 }
 
 // ObserverCount is the number of balancers that observe a target.
@@ -353,7 +463,7 @@
 }
 
 func (r *Roster) choose(service uint16, n int) []Member {
-	all := r.Members(func(m *Member) bool { return m.Role == Balancer && Live(m) })
+	all := slices.Clone(r.Balancers())
 	slices.SortFunc(all, func(a, b Member) int {
 		return cmp.Compare(observerScore(service, &b), observerScore(service, &a))
 	})
--- a/internal/standin/authority.go
+++ b/internal/standin/authority.go
@@ -139,9 +139,11 @@
 
 // Secrets of the stand-in are the same in every run.
 func secretText(n int) string {
-	return hex.EncodeToString([]byte(fmt.Sprintf("stand-in secret number %08d", n)))
+	return hex.EncodeToString([]byte(secretPlain(n)))
 }
 
+func secretPlain(n int) string { return fmt.Sprintf("stand-in secret number %08d", n) }
+
 // Files returns the credential files of a daemon.
 func (a *Authority) Files() credential.Files {
 	return credential.Files{
--- /dev/null
+++ b/internal/standin/capacity.go
@@ -0,0 +1,599 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/net/ipv4"
+	"golang.org/x/sync/errgroup"
+
+	"skylarkturn/caller"
+	"skylarkturn/internal/control"
+	"skylarkturn/internal/flow"
+	"skylarkturn/internal/roster"
+	"skylarkturn/internal/service"
+)
+
+// Slope is one measured figure.
+type Slope struct {
+	Name  string  `json:"name"`
+	Size  string  `json:"size"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+}
+
+// CapacityOptions say how slopes are measured.
+type CapacityOptions struct {
+	Dir      string
+	Bin      string
+	Window   time.Duration // of each measurement of a process
+	Sessions int           // of the measurement of an agent
+	Progress func(format string, args ...any)
+}
+
+// Numbers of a region at the size to design for: 4,900 balancers and 36,000
+// hosts in 6 regions, about three hosts to a service.
+const (
+	regionBalancers = 820
+	regionAgents    = 6000
+	agentsOfService = 3
+)
+
+// Capacity measures the slopes that docs/CAPACITY.md is worked out from.
+func Capacity(ctx context.Context, opt CapacityOptions) ([]Slope, error) {
+	slopes := sizes()
+	for _, part := range []func(context.Context, CapacityOptions) ([]Slope, error){
+		decisionSlopes, forwardSlopes, balancerSlopes, agentSlopes, platformSlopes,
+	} {
+		more, err := part(ctx, opt)
+		slopes = append(slopes, more...)
+		if err != nil {
+			return slopes, err
+		}
+	}
+	return slopes, nil
+}
+
+func fakeBalancer(i int) roster.Member {
+	return roster.Member{
+		Role: roster.Balancer, State: roster.Ready, Name: fmt.Sprintf("balancer-%05d", i), Zone: fmt.Sprintf("region-1-az%d", i%4),
+		Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 1, byte(i >> 8), byte(i)}), 0), Incarnation: 1_800_000_000_000_000_000, Seq: 1,
+	}
+}
+
+func fakeAgent(i int) roster.Member {
+	return roster.Member{
+		Role: roster.Agent, State: roster.Ready, Name: fmt.Sprintf("target-%05d", i), Host: fmt.Sprintf("vm-%05d", i),
+		Zone: fmt.Sprintf("region-1-az%d", i%4), Addr: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 2, byte(i >> 8), byte(i)}), 0),
+		Service: uint16(1 + i/agentsOfService), Incarnation: 1_800_000_000_000_000_000, Seq: 1, Warmth: 100, Sessions: 900, Generation: 1,
+	}
+}
+
+// Returns the sizes of the messages that daemons send each other.
+func sizes() []Slope {
+	codec, err := control.NewCodec([]byte("0123456789abcdef"))
+	if err != nil {
+		return nil
+	}
+	lean := fakeAgent(1)
+	lean.Name, lean.Zone, lean.Host = "", "", ""
+	from := fakeBalancer(1)
+	leanBalancer := from
+	leanBalancer.Name, leanBalancer.Zone = "", ""
+	size := func(name, what string, m *control.Message) Slope {
+		b, err := codec.Seal(m)
+		if err != nil {
+			return Slope{Name: name, Size: err.Error()}
+		}
+		return Slope{name, what, float64(len(b)), "bytes"}
+	}
+	loads := []control.Load{{Addr: fakeAgent(2).Addr, Sessions: 900}, {Addr: fakeAgent(3).Addr, Sessions: 900}}
+	generation := []control.Generation{{Service: 17, Number: 12}}
+	buckets, hashes := make([]uint64, roster.BucketCount), make([]uint64, 107)
+	for i := range buckets {
+		buckets[i] = rand.Uint64()
+	}
+	for i := range hashes {
+		hashes[i] = rand.Uint64()
+	}
+	return []Slope{
+		size("heartbeat", "lean record", &control.Message{Kind: control.Heartbeat, From: lean, Digest: rand.Uint64()}),
+		size("ack", "service of 3 targets", &control.Message{
+			Kind: control.Ack, From: leanBalancer, Loads: loads, Generations: generation, Digest: rand.Uint64(),
+			Observers: []netip.AddrPort{from.Addr, fakeBalancer(2).Addr}, Believed: roster.Ready,
+		}),
+		size("gossip", "no change", &control.Message{Kind: control.Gossip, From: from, Digest: rand.Uint64(), Config: rand.Uint64(), CheckedAgo: 10_000, Unknown: true}),
+		size("gossip", "one record", &control.Message{Kind: control.Gossip, From: from, Digest: rand.Uint64(), Config: rand.Uint64(), CheckedAgo: 10_000, Members: []roster.Member{fakeAgent(1)}}),
+		size("gossip", "one generation", &control.Message{Kind: control.Gossip, From: from, Digest: rand.Uint64(), Config: rand.Uint64(), CheckedAgo: 10_000, Generations: generation}),
+		size("repair", "64 bucket hashes", &control.Message{Kind: control.Repair, From: from, Buckets: buckets}),
+		size("repair", "107 record hashes", &control.Message{Kind: control.Repair, From: from, Hashes: hashes}),
+	}
+}
+
+// Measures the decision packages at a region's full size.
+func decisionSlopes(context.Context, CapacityOptions) ([]Slope, error) {
+	r := roster.New(roster.DefaultTiming, rand.New(rand.NewPCG(1, 1)))
+	now := time.Now()
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	started := time.Now()
+	for i := range regionBalancers {
+		r.Apply(now, fakeBalancer(i))
+	}
+	for i := range regionAgents {
+		r.Apply(now, fakeAgent(i))
+	}
+	members := regionBalancers + regionAgents
+	applied := time.Since(started)
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	what := fmt.Sprintf("%d members", members)
+	slopes := []Slope{
+		{"roster memory", what, float64(after.HeapAlloc-before.HeapAlloc) / float64(members), "bytes/member"},
+		{"roster apply", what, float64(applied.Nanoseconds()) / float64(members), "ns/record"},
+	}
+	self := fakeBalancer(1).Addr
+	r.Tick(now, self)
+	slopes = append(slopes,
+		timed("roster tick", what, 1000, func() { r.Tick(now, self) }),
+		timed("roster tick after a change", what, 50, func() {
+			m := fakeAgent(7)
+			m.Seq = uint32(time.Now().UnixNano())
+			r.Apply(now, m)
+			r.Tick(now, self)
+		}),
+		timed("choice of gossip peers", what, 50, func() { r.Peers(self, 3) }),
+		timed("hashes of a bucket", what, 50, func() { r.Hashes(1) }),
+	)
+	return append(slopes, placeSlopes()...), nil
+}
+
+func timed(name, size string, n int, f func()) Slope {
+	started := time.Now()
+	for range n {
+		f()
+	}
+	return Slope{name, size, float64(time.Since(started).Nanoseconds()) / float64(n), "ns"}
+}
+
+func placeSlopes() (slopes []Slope) {
+	for _, n := range []int{3, 16, 100} {
+		var c []flow.Candidate
+		for i := range n {
+			c = append(c, flow.Candidate{Agent: fakeAgent(i).Addr, Weight: 1})
+		}
+		key := uint64(0)
+		slopes = append(slopes, timed("place a first datagram", fmt.Sprintf("%d targets", n), 20_000, func() {
+			key++
+			flow.Place(key, c)
+		}))
+	}
+	return slopes
+}
+
+// usage is what a process has used.
+type usage struct {
+	cpu time.Duration
+	rss float64 // bytes
+	at  time.Time
+}
+
+const clockTick = 10 * time.Millisecond // USER_HZ of Linux is 100
+
+var errStat = errors.New("process statistics are not as expected")
+
+func usageOf(pid int) (usage, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return usage{}, &Error{"usage", KindProcess, err}
+	}
+	_, rest, ok := strings.Cut(string(stat), ") ")
+	fields := strings.Fields(rest)
+	if !ok || len(fields) < 22 {
+		return usage{}, &Error{"usage", KindProcess, errStat}
+	}
+	user, err1 := strconv.Atoi(fields[11])
+	system, err2 := strconv.Atoi(fields[12])
+	pages, err3 := strconv.Atoi(fields[21])
+	if err := errors.Join(err1, err2, err3); err != nil {
+		return usage{}, &Error{"usage", KindProcess, err}
+	}
+	return usage{time.Duration(user+system) * clockTick, float64(pages * os.Getpagesize()), time.Now()}, nil
+}
+
+// feeder plays all other members of a region towards one balancer.
+type feeder struct {
+	conn   *ipv4.PacketConn
+	udp    *net.UDPConn
+	port   uint16
+	codec  *control.Codec
+	view   *roster.Roster
+	to     netip.AddrPort
+	agents []roster.Member // those that the balancer observes
+}
+
+func newFeeder(secret []byte, to string) (*feeder, error) {
+	udp, err := net.ListenUDP("udp4", &net.UDPAddr{})
+	if err != nil {
+		return nil, &Error{"feeder", KindStart, err}
+	}
+	codec, err := control.NewCodec(secret)
+	if err != nil {
+		return nil, err
+	}
+	f := &feeder{
+		conn: ipv4.NewPacketConn(udp), udp: udp, port: udp.LocalAddr().(*net.UDPAddr).AddrPort().Port(), codec: codec,
+		view: roster.New(roster.DefaultTiming, rand.New(rand.NewPCG(1, 1))),
+	}
+	if f.to, err = netip.ParseAddrPort(to); err != nil {
+		return nil, &Error{"feeder", KindStart, err}
+	}
+	return f, f.conn.SetControlMessage(ipv4.FlagDst, true)
+}
+
+func (f *feeder) here(m roster.Member) roster.Member {
+	m.Addr = netip.AddrPortFrom(m.Addr.Addr(), f.port)
+	return m
+}
+
+func (f *feeder) send(m *control.Message) error {
+	b, err := f.codec.Seal(m)
+	if err != nil {
+		return err
+	}
+	_, err = f.udp.WriteToUDPAddrPort(b, f.to)
+	return err
+}
+
+const feedPause = 2 * time.Millisecond // between messages of a full copy
+
+// Sends the records of so many members.
+func (f *feeder) fill(balancers, agents int) error {
+	var all []roster.Member
+	for i := range balancers {
+		all = append(all, f.here(fakeBalancer(i)))
+	}
+	for i := range agents {
+		all = append(all, f.here(fakeAgent(i)))
+	}
+	for _, m := range all {
+		f.view.Apply(time.Now(), m)
+	}
+	from := f.here(fakeBalancer(0))
+	for len(all) > 0 {
+		n := min(7, len(all))
+		if err := f.send(&control.Message{Kind: control.Gossip, From: from, Members: all[:n], Reply: true}); err != nil {
+			return err
+		}
+		all = all[n:]
+		time.Sleep(feedPause)
+	}
+	return nil
+}
+
+// Answers the balancer's messages as a member with an equal view would.
+func (f *feeder) answer(ctx context.Context) error {
+	buf := make([]byte, 2048)
+	for ctx.Err() == nil {
+		n, cm, _, err := f.conn.ReadFrom(buf)
+		if err != nil {
+			return nil // closed at the end
+		}
+		m, err := f.codec.Open(buf[:n])
+		if err != nil || m.Kind != control.Gossip || m.Reply || cm == nil {
+			continue
+		}
+		dst, _ := netip.AddrFromSlice(cm.Dst.To4())
+		from, ok := f.view.Get(netip.AddrPortFrom(dst, f.port))
+		if !ok || !m.Unknown {
+			continue
+		}
+		if err := f.send(&control.Message{Kind: control.Gossip, From: from, Digest: m.Digest, Config: m.Config, Reply: true}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Sends the heartbeats of the agents that the balancer observes.
+func (f *feeder) beat(ctx context.Context, every time.Duration) error {
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for n := 0; ; n++ {
+		for _, m := range f.agents {
+			m.Name, m.Zone, m.Host = "", "", ""
+			if err := f.send(&control.Message{Kind: control.Heartbeat, From: m, Digest: f.view.ServiceDigest(m.Service), Unknown: n%2 == 0}); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+		}
+	}
+}
+
+// Finds the agents that the balancer under measurement observes.
+func (f *feeder) observe(self roster.Member) {
+	f.view.Apply(time.Now(), self)
+	for _, m := range f.view.Members(func(m *roster.Member) bool { return m.Role == roster.Agent }) {
+		for _, o := range f.view.Observers(m.Service, roster.ObserverCount) {
+			if o.Addr == self.Addr {
+				f.agents = append(f.agents, m)
+			}
+		}
+	}
+}
+
+// Agents send a heartbeat each 900 ms and ask for an answer with every second one.
+const heartbeatEvery = 900 * time.Millisecond
+
+// Measures a balancer process among so many members and services.
+func balancerSlopes(ctx context.Context, opt CapacityOptions) (slopes []Slope, err error) {
+	for _, part := range []float64{0, 0.5, 1} {
+		opt.Progress("balancer among %.0f%% of a region", 100*part)
+		more, err := measureBalancer(ctx, opt, int(part*regionBalancers), int(part*regionAgents))
+		if err != nil {
+			return slopes, err
+		}
+		slopes = append(slopes, more...)
+	}
+	return slopes, nil
+}
+
+func measureBalancer(ctx context.Context, opt CapacityOptions, balancers, agents int) (slopes []Slope, err error) {
+	o := Options{Dir: filepath.Join(opt.Dir, fmt.Sprintf("balancer-%d", agents)), Bin: opt.Bin, Zones: []string{"region-1-az1"}}
+	if err := makeDir(o.Dir); err != nil {
+		return nil, err
+	}
+	d, err := NewDeployment(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, d.Close()) }()
+	if err := d.preload((agents + agentsOfService - 1) / agentsOfService); err != nil {
+		return nil, err
+	}
+	m, err := d.AddBalancer()
+	if err != nil {
+		return nil, err
+	}
+	opt.Progress("  its metrics and profiles: http://%s", m.Ops)
+	f, err := newFeeder([]byte(secretPlain(0)), m.Inner)
+	if err != nil {
+		return nil, err
+	}
+	g, run := errgroup.WithContext(ctx)
+	run, stop := context.WithCancel(run)
+	defer stop()
+	g.Go(func() error { return f.answer(run) })
+	if err := f.fill(balancers, agents); err != nil {
+		return nil, err
+	}
+	self, err := netip.ParseAddrPort(m.Inner)
+	if err != nil {
+		return nil, &Error{"measure", KindProcess, err}
+	}
+	f.observe(roster.Member{Role: roster.Balancer, State: roster.Ready, Zone: "region-1-az1", Addr: self, Incarnation: 1, Seq: 1})
+	g.Go(func() error { return f.beat(run, heartbeatEvery) })
+	slopes, err = m.measure(ctx, opt.Window, fmt.Sprintf("%d members, %d services, %d observed", balancers+agents, (agents+2)/3, len(f.agents)))
+	stop()
+	_ = f.udp.Close()
+	return slopes, errors.Join(err, g.Wait())
+}
+
+// Writes so many services into the platform, as if they had been confirmed.
+func (d *Deployment) preload(services int) error {
+	for i := range services {
+		s := service.Service{
+			Name: fmt.Sprintf("service-%05d", i), Tenant: "tenant", Number: uint16(i + 1), Generation: 1, PlanID: "0123456789abcdef",
+			Addresses: []string{fmt.Sprintf("10.%d.%d.1:443", i>>8, i&255), fmt.Sprintf("10.%d.%d.2:443", i>>8, i&255)},
+			Classes:   classes,
+		}
+		value, err := json.Marshal(s)
+		if err != nil {
+			return &Error{"preload", KindStart, err}
+		}
+		d.Platform.update("service", s.Name, nil, value)
+	}
+	return nil
+}
+
+const warmUp = 8 * time.Second // to learn members and configuration, and to collect garbage
+
+// Measures a process over a window.
+func (m *Daemon) measure(ctx context.Context, window time.Duration, size string) ([]Slope, error) {
+	if err := waitUntil(ctx, time.Now().Add(warmUp)); err != nil {
+		return nil, err
+	}
+	c1, err := m.counters(ctx)
+	if err != nil {
+		return nil, err
+	}
+	u1, err := usageOf(m.process.Pid)
+	if err != nil {
+		return nil, err
+	}
+	if err := waitUntil(ctx, time.Now().Add(window)); err != nil {
+		return nil, err
+	}
+	u2, err := usageOf(m.process.Pid)
+	if err != nil {
+		return nil, err
+	}
+	c2, err := m.counters(ctx)
+	if err != nil {
+		return nil, err
+	}
+	seconds := u2.at.Sub(u1.at).Seconds()
+	rate := func(name string) float64 { return (c2[name] - c1[name]) / seconds }
+	return []Slope{
+		{"balancer processor", size, 100 * (u2.cpu - u1.cpu).Seconds() / seconds, "% of a core"},
+		{"balancer memory", size, u2.rss / (1 << 20), "MB resident"},
+		{"balancer heap", size, c2["go_memstats_heap_inuse_bytes"] / (1 << 20), "MB"},
+		{"balancer control received", size, rate("skylark_control_bytes_received_total"), "bytes/s"},
+		{"balancer control sent", size, rate("skylark_control_bytes_sent_total"), "bytes/s"},
+	}, nil
+}
+
+// Measures an agent process by its sessions and requests.
+func agentSlopes(ctx context.Context, opt CapacityOptions) (slopes []Slope, err error) {
+	opt.Progress("agent with %d sessions", opt.Sessions)
+	svc := ServiceOptions{Tenant: "lensbridge", Name: "bookdesk", Number: 17, Hosts: 1, Slots: 64}
+	o := Options{Dir: filepath.Join(opt.Dir, "agent"), Bin: opt.Bin, Zones: []string{"az1"}, Balancers: 1, Services: []ServiceOptions{svc}}
+	if err := makeDir(o.Dir); err != nil {
+		return nil, err
+	}
+	d, err := NewDeployment(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, d.Close()) }()
+	operator, err := d.Operator()
+	if err != nil {
+		return nil, err
+	}
+	if err := d.DeclareAll(ctx, operator); err != nil {
+		return nil, err
+	}
+	pid := d.Agent("bookdesk-1").process.Pid
+	idle, err := usageOf(pid)
+	if err != nil {
+		return nil, err
+	}
+	sessions, err := d.openSessions(ctx, opt.Sessions)
+	defer func() {
+		for _, s := range sessions {
+			err = errors.Join(err, s.Close())
+		}
+	}()
+	if err != nil {
+		return nil, err
+	}
+	opened, err := usageOf(pid)
+	if err != nil {
+		return nil, err
+	}
+	if err := waitUntil(ctx, time.Now().Add(opt.Window)); err != nil {
+		return nil, err
+	}
+	held, err := usageOf(pid)
+	if err != nil {
+		return nil, err
+	}
+	const perSession = 10
+	if err := fetchSheets(ctx, sessions, perSession); err != nil {
+		return nil, err
+	}
+	worked, err := usageOf(pid)
+	if err != nil {
+		return nil, err
+	}
+	n := float64(len(sessions))
+	size := fmt.Sprintf("%d sessions", len(sessions))
+	return []Slope{
+		{"agent memory", "no session", idle.rss / (1 << 20), "MB resident"},
+		{"agent memory by session", size, (held.rss - idle.rss) / n / (1 << 10), "KB resident"},
+		{"agent processor by handshake", size, 1000 * (opened.cpu - idle.cpu).Seconds() / n, "ms"},
+		{"agent processor by open session", size + ", heartbeat each 5 s", 1e6 * (held.cpu - opened.cpu).Seconds() / held.at.Sub(opened.at).Seconds() / n, "us/s"},
+		{"agent processor by request", fmt.Sprintf("sheet of %d bytes", SheetSize), 1e6 * (worked.cpu - held.cpu).Seconds() / n / perSession, "us"},
+	}, nil
+}
+
+func (d *Deployment) openSessions(ctx context.Context, n int) ([]*caller.Session, error) {
+	sessions := make([]*caller.Session, n)
+	var g errgroup.Group
+	g.SetLimit(dialParallel)
+	for i := range sessions {
+		g.Go(func() (err error) {
+			sessions[i], err = d.Dial(ctx, "bookdesk", caller.WithSilence(silence*3))
+			return err
+		})
+	}
+	err := g.Wait()
+	opened := sessions[:0]
+	for _, s := range sessions {
+		if s != nil {
+			opened = append(opened, s)
+		}
+	}
+	return opened, err
+}
+
+func fetchSheets(ctx context.Context, sessions []*caller.Session, each int) error {
+	var g errgroup.Group
+	g.SetLimit(dialParallel / 2)
+	for _, s := range sessions {
+		g.Go(func() error {
+			for range each {
+				if _, err := s.Do(ctx, caller.Request{Path: "/sheets/x"}); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+	}
+	return g.Wait()
+}
+
+// Counts the platform's calls, idle and by change.
+func platformSlopes(ctx context.Context, opt CapacityOptions) (slopes []Slope, err error) {
+	const balancers, changes = 6, 10
+	opt.Progress("platform with %d balancers", balancers)
+	svc := ServiceOptions{Tenant: "lensbridge", Name: "bookdesk", Number: 17, Hosts: 2, Slots: 4}
+	o := Options{Dir: filepath.Join(opt.Dir, "platform"), Bin: opt.Bin, Zones: []string{"az1", "az2"}, Balancers: balancers, Services: []ServiceOptions{svc}}
+	if err := makeDir(o.Dir); err != nil {
+		return nil, err
+	}
+	d, err := NewDeployment(ctx, o)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, d.Close()) }()
+	operator, err := d.Operator()
+	if err != nil {
+		return nil, err
+	}
+	if err := d.DeclareAll(ctx, operator); err != nil {
+		return nil, err
+	}
+	if err := waitUntil(ctx, time.Now().Add(warmUp)); err != nil {
+		return nil, err
+	}
+	before := d.Platform.Calls()
+	long := 4 * opt.Window // a watch waits for 20 s
+	if err := waitUntil(ctx, time.Now().Add(long)); err != nil {
+		return nil, err
+	}
+	idle := float64(d.Platform.Calls()-before) / long.Seconds()
+	s := &stage{Deployment: d, operator: operator, changed: make(map[string]bool)}
+	before = d.Platform.Calls()
+	for i := range changes {
+		if err := s.drain(ctx, "bookdesk-1", i%2 == 0); err != nil {
+			return nil, err
+		}
+	}
+	size := fmt.Sprintf("%d balancers", balancers)
+	slopes = []Slope{
+		{"platform calls, idle", size, idle, "calls/s"},
+		{"platform calls by change", size, float64(d.Platform.Calls()-before) / changes, "calls"},
+	}
+	var in []time.Duration
+	in = append(in, s.inForce...)
+	return append(slopes,
+		Slope{"change in force everywhere, median", size, quantile(in, 0.5), "ms"},
+		Slope{"change in force everywhere, longest", size, quantile(in, 1), "ms"}), nil
+}
--- a/internal/standin/operator.go
+++ b/internal/standin/operator.go
@@ -22,11 +22,13 @@
 		Tenant:    s.Tenant,
 		Number:    s.Number,
 		Addresses: []string{d.Fabric.Address(s.Name)},
-		Classes: []service.Class{
-			{Name: "feed", PathPrefix: "/feed", Idempotent: true, Stream: true, Priority: 1},
-			{Name: "sheets", PathPrefix: "/sheets/", Idempotent: true},
-			{Name: "holds", PathPrefix: "/holds", Priority: 2},
-			{Name: "orders", PathPrefix: "/orders", Priority: 2},
-		},
+		Classes:   classes,
 	}
 }
+
+var classes = []service.Class{
+	{Name: "feed", PathPrefix: "/feed", Idempotent: true, Stream: true, Priority: 1},
+	{Name: "sheets", PathPrefix: "/sheets/", Idempotent: true},
+	{Name: "holds", PathPrefix: "/holds", Priority: 2},
+	{Name: "orders", PathPrefix: "/orders", Priority: 2},
+}
--- a/internal/standin/settle.go
+++ b/internal/standin/settle.go
@@ -1,16 +1,43 @@
 package standin
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"skylarkturn/internal/admin"
 	"skylarkturn/internal/service"
 )
 
+// counters reads the metrics of a daemon.
+func (m *Daemon) counters(ctx context.Context) (map[string]float64, error) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Ops+"/metrics", nil)
+	if err != nil {
+		return nil, &Error{"counters", KindProcess, err}
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, &Error{"counters", KindProcess, err}
+	}
+	defer resp.Body.Close()
+	counters := make(map[string]float64)
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			counters[name] = v
+		}
+	}
+	return counters, lines.Err()
+}
+
 const settlePoll = 20 * time.Millisecond
 
 type balancerHealth struct {
