--- a/cmd/skylark-stand/main.go
+++ b/cmd/skylark-stand/main.go
@@ -104,7 +104,7 @@
 	}
 	for _, name := range []string{"skylark-balancer", "skylark-agent"} {
 		if _, err := os.Stat(filepath.Join(dir, name)); err != nil {
-			return "", fmt.Errorf("%w; build the programs with: go build -o bin ./cmd/...", err)
+			return "", fmt.Errorf("the programs are not built, see README.md: %w", err)
 		}
 	}
 	return dir, nil
