--- a/internal/agent/members.go
+++ b/internal/agent/members.go
@@ -17,7 +17,7 @@
 	answerEvery   = 1500 * time.Millisecond // time after an observer's answer from which another is asked for
 	fetchTimeout  = 2 * time.Second
 	sweepEvery    = 25 // ticks
-	reloadEvery   = 50 // ticks
+	reloadEvery   = 10 // ticks
 	farewellCount = 2
 )
 
--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -16,6 +16,7 @@
 	probeEvery            = 5 // ticks
 	introduceEvery        = 5 // ticks between attempts to find a first peer
 	reintroduceEvery      = 50
+	reloadEvery           = 10
 	bucketsPerRepair      = 2
 	hashesPerMessage      = 120                   // records left out are sent without need
 	fetchAllRatio         = 2                     // times that a peer must know more members to be fetched from whole
@@ -37,7 +38,7 @@
 }
 
 func (b *Balancer) tick(now time.Time, n int) {
-	if n%reintroduceEvery == 0 {
+	if n%reloadEvery == 0 {
 		b.reloadCredentials()
 	}
 	b.mu.Lock()
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -60,6 +60,7 @@
 	hosts     map[string]*Host
 	agents    map[string]*Daemon
 	balancers map[string]*Daemon
+	started   []*Daemon
 	number    int // of balancers ever started
 }
 
@@ -125,17 +126,11 @@
 	return errors.Join(errs...)
 }
 
+// Returns the daemons ever started, also those that others replaced.
 func (d *Deployment) daemons() []*Daemon {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var all []*Daemon
-	for _, m := range d.agents {
-		all = append(all, m)
-	}
-	for _, m := range d.balancers {
-		all = append(all, m)
-	}
-	return all
+	return append([]*Daemon(nil), d.started...)
 }
 
 func (d *Deployment) zone(i int) string { return d.opt.Zones[i%len(d.opt.Zones)] }
@@ -171,6 +166,7 @@
 	d.Fabric.Add(b)
 	d.mu.Lock()
 	d.balancers[cfg.Name] = m
+	d.started = append(d.started, m)
 	d.mu.Unlock()
 	return m, nil
 }
@@ -193,6 +189,11 @@
 
 // StartAgent starts the agent of a host that is there.
 func (d *Deployment) StartAgent(s ServiceOptions, name, zone string) (*Daemon, error) {
+	return d.StartAgentAt("127.0.0.1:0", s, name, zone)
+}
+
+// StartAgentAt starts the agent of a host that is there at an inner address.
+func (d *Deployment) StartAgentAt(inner string, s ServiceOptions, name, zone string) (*Daemon, error) {
 	warmup := d.opt.Warmup
 	if warmup == 0 {
 		warmup = time.Millisecond
@@ -204,7 +205,7 @@
 		Tenant:      s.Tenant,
 		Service:     s.Name,
 		Number:      s.Number,
-		Inner:       "127.0.0.1:0",
+		Inner:       inner,
 		Ops:         "127.0.0.1:0",
 		Entry:       d.Fabric.Entry(),
 		HostURL:     d.Host(name).URL(),
@@ -220,6 +221,7 @@
 	}
 	d.mu.Lock()
 	d.agents[name] = m
+	d.started = append(d.started, m)
 	d.mu.Unlock()
 	return m, nil
 }
--- a/internal/standin/failure_test.go
+++ b/internal/standin/failure_test.go
@@ -193,9 +193,11 @@
 	s.lost["bookdesk-1"] = true
 	a := s.Agent("bookdesk-1")
 	s.check(a.Freeze())
-	s.pass(5 * time.Second)
-	s.check(a.Resume())
+	s.check(s.Settle(s.ctx, 2, 2, 1)) // out of placement
 	s.pass(3 * time.Second)
+	s.check(a.Resume())
+	s.check(s.Settle(s.ctx, 2, 3, 1)) // the suspicion is taken back
+	s.pass(time.Second)
 	s.finish()
 }
 
--- /dev/null
+++ b/internal/standin/security_test.go
@@ -0,0 +1,146 @@
+package standin_test
+
+import (
+	"context"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-quicktest/qt"
+
+	"skylarkturn/caller"
+	"skylarkturn/internal/flow"
+	"skylarkturn/internal/standin"
+)
+
+// metric returns the value of a daemon's metric as text.
+func metric(t *testing.T, m *standin.Daemon, name string) string {
+	t.Helper()
+	resp, err := http.Get("http://" + m.Ops + "/metrics")
+	qt.Assert(t, qt.IsNil(err))
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	qt.Assert(t, qt.IsNil(err))
+	for line := range strings.Lines(string(b)) {
+		if value, ok := strings.CutPrefix(line, name+" "); ok {
+			return strings.TrimSpace(value)
+		}
+	}
+	return ""
+}
+
+// An agent of another service starts at the address of one that was killed. The
+// flows of the old one must not reach its host.
+func TestReusedAddressGetsNothingOfOldFlows(t *testing.T) {
+	t.Parallel()
+	stages <- struct{}{}
+	t.Cleanup(func() { <-stages })
+	books := bookdesk
+	books.Hosts = 2
+	docs := standin.ServiceOptions{Tenant: "lensbridge", Name: "kitdocs", Number: 18, Hosts: 1, Slots: 4, Work: time.Millisecond}
+	d := deploy(t, standin.Options{Balancers: 2, Services: []standin.ServiceOptions{books, docs}})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	o, err := d.Operator()
+	qt.Assert(t, qt.IsNil(err))
+	qt.Assert(t, qt.IsNil(d.DeclareAll(ctx, o)))
+	l := standin.NewLoad(d, standin.LoadOptions{
+		Service: books, Sessions: 12, Path: "/holds", Every: 20 * time.Millisecond, Timeout: 10 * time.Second,
+		Caller: []caller.Option{caller.WithHeartbeat(500 * time.Millisecond), caller.WithSilence(2 * time.Second), caller.WithRetryBudget(1000)},
+	})
+	run, end := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(run) }()
+	for l.Open() < 12 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(300 * time.Millisecond)
+
+	old := d.Agent("bookdesk-1")
+	qt.Assert(t, qt.IsNil(old.Kill()))
+	intruder, err := d.StartAgentAt(old.Inner, docs, "kitdocs-1", "az1")
+	qt.Assert(t, qt.IsNil(err))
+	time.Sleep(4 * time.Second)
+	end()
+	qt.Assert(t, qt.IsNil(<-ended))
+	r := l.Report(map[string]bool{"bookdesk-1": true}, func(string) bool { return true })
+	t.Logf("%+v; datagrams refused by the new agent: %s", r, metric(t, intruder, "skylark_foreign_datagrams_total"))
+	qt.Check(t, qt.HasLen(r.Promises(), 0))
+	qt.Check(t, qt.Equals(d.Host("kitdocs-1").Worked(), int64(0)))
+}
+
+// Flow keys are added, made active and certificates replaced, without a restart
+// and without a broken flow.
+func TestCredentialsAreReplacedUnderLoad(t *testing.T) {
+	s := play(t, 2, 2)
+	s.check(s.Authority.WriteSecrets(1, 2))
+	s.pass(3 * time.Second)
+	s.check(s.Authority.WriteSecrets(2, 2))
+	s.check(s.Authority.Issue("caller", pkix.Name{CommonName: standin.ServerName}, []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}))
+	s.pass(3 * time.Second)
+	late, err := s.Dial(s.ctx, "bookdesk", quick...)
+	s.check(err)
+	_, err = late.Do(s.ctx, caller.Request{Path: "/sheets/lens"})
+	s.check(err)
+	s.check(late.Close())
+	for _, b := range s.Balancers() {
+		qt.Check(t, qt.Equals(metric(t, b, `skylark_datagrams_inward_total{verdict="drop_foreign"}`), "0"))
+		qt.Check(t, qt.Equals(metric(t, b, "skylark_credential_reload_errors_total"), "0"))
+	}
+	r := s.finish()
+	qt.Check(t, qt.Equals(r.Broken, 0))
+}
+
+// Frames and messages of an unknown sender are dropped and counted.
+func TestForgedFramesAreDropped(t *testing.T) {
+	s := play(t, 1, 1)
+	sealer, err := flow.NewSealer([]byte("not the secret of this system"))
+	s.check(err)
+	var balancer *standin.Daemon
+	for _, b := range s.Balancers() {
+		balancer = b
+	}
+	agent := s.Agent("bookdesk-1")
+	random := rand.New(rand.NewPCG(1, 1))
+	const each = 50
+	for _, m := range []*standin.Daemon{balancer, agent} {
+		conn, err := net.Dial("udp", m.Inner)
+		s.check(err)
+		for range each {
+			b := make([]byte, flow.FrameLen+100)
+			for i := range b {
+				b[i] = byte(random.Uint32())
+			}
+			b[0] = 0xc1 // like a control message
+			_, err = conn.Write(b)
+			s.check(err)
+			sealer.Put(b, flow.Frame{Direction: flow.Outward, Service: 17, Caller: netip.MustParseAddrPort("127.0.0.1:9"), Via: netip.MustParseAddrPort(m.Inner)})
+			_, err = conn.Write(b)
+			s.check(err)
+		}
+		s.check(conn.Close())
+		s.until("all forged datagrams are counted", func() bool {
+			return metric(t, m, "skylark_forged_total") == fmt.Sprint(2*each)
+		})
+	}
+	s.finish()
+}
+
+// Each tenant and class has its histogram.
+func TestMetricsNameTenantAndClass(t *testing.T) {
+	s := play(t, 1, 1)
+	a := s.Agent("bookdesk-1")
+	for _, class := range []string{"holds", "sheets"} {
+		name := fmt.Sprintf(`skylark_request_seconds_count{tenant="lensbridge",service="bookdesk",class=%q,result="answered"}`, class)
+		s.until("requests of class "+class+" are counted", func() bool { return metric(t, a, name) != "" })
+	}
+	s.finish()
+}
