--- a/internal/balancer/operators.go
+++ b/internal/balancer/operators.go
@@ -155,7 +155,7 @@
 	b.mu.Lock()
 	v := healthView{
 		Name:          b.cfg.Name,
-		Services:      len(b.catalog.All()),
+		Services:      b.catalog.Len(),
 		ConfigCurrent: !b.checked.IsZero() && time.Since(b.checked) < currentFor,
 	}
 	v.ConfigDigest = fmt.Sprintf("%016x", b.catalog.Digest())
--- a/internal/credential/credential.go
+++ b/internal/credential/credential.go
@@ -215,6 +215,22 @@
 	}
 }
 
+// Daemons returns the TLS configuration of a server that only other daemons may
+// call: operators' certificates have the usage of clients alone.
+func (s *Store) Daemons() *tls.Config {
+	cfg := s.Server()
+	server := cfg.GetConfigForClient
+	cfg.GetConfigForClient = func(hello *tls.ClientHelloInfo) (*tls.Config, error) {
+		c, err := server(hello)
+		if err != nil {
+			return nil, err
+		}
+		c.VerifyConnection = s.verify
+		return c, nil
+	}
+	return cfg
+}
+
 // Client returns the TLS configuration for calls to other daemons, which are
 // known by the CA's signature and not by their addresses.
 func (s *Store) Client() *tls.Config {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -120,7 +120,7 @@
 // Serve answers calls on ln until ctx is done; resolver may be nil.
 func Serve(ctx context.Context, ln net.Listener, creds *credential.Store, directory Directory, resolver Resolver) error {
 	s := grpc.NewServer(
-		grpc.Creds(credentials.NewTLS(creds.Server())),
+		grpc.Creds(credentials.NewTLS(creds.Daemons())),
 		grpc.ForceServerCodec(codec{}),
 		grpc.KeepaliveParams(keepalive.ServerParameters{MaxConnectionIdle: maxIdle}),
 	)
@@ -225,12 +225,22 @@
 	if err == nil {
 		return nil
 	}
-	if refused := c.refused(a); refused {
+	c.forget(a, conn) // else it would try to connect again and again
+	if c.refused(a) {
 		return &Error{method, KindRefused, err}
 	}
 	return &Error{method, KindCall, err}
 }
 
+func (c *Client) forget(a netip.AddrPort, conn *grpc.ClientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conns[a] == conn {
+		delete(c.conns, a)
+	}
+	_ = conn.Close() // nothing is lost with a connection that is given up
+}
+
 // Reports whether the last attempt to connect to a was refused.
 func (c *Client) refused(a netip.AddrPort) bool {
 	c.mu.Lock()
--- a/internal/service/catalog.go
+++ b/internal/service/catalog.go
@@ -35,6 +35,9 @@
 // Digest returns a hash over the numbers and generations of all services.
 func (c *Catalog) Digest() uint64 { return c.digest }
 
+// Len returns the number of services.
+func (c *Catalog) Len() int { return len(c.services) }
+
 // Get returns the service with the number; the caller must not change it.
 func (c *Catalog) Get(number uint16) (*Service, bool) {
 	s, ok := c.services[number]
--- a/internal/standin/operators_test.go
+++ b/internal/standin/operators_test.go
@@ -4,12 +4,17 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/netip"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-quicktest/qt"
 
 	"skylarkturn/internal/admin"
+	"skylarkturn/internal/credential"
+	"skylarkturn/internal/peer"
 	"skylarkturn/internal/plan"
 	"skylarkturn/internal/service"
 	"skylarkturn/internal/standin"
@@ -181,6 +186,28 @@
 	qt.Check(t, qt.Equals(problemOf(t, err).Status, http.StatusForbidden))
 }
 
+// The calls between daemons are not for operators, whose certificates the same
+// authority signs.
+func TestOperatorsCanNotCallAsDaemons(t *testing.T) {
+	d := openDesk(t, 1, 1)
+	inner, err := netip.ParseAddrPort(d.balancers[0].Inner)
+	qt.Assert(t, qt.IsNil(err))
+	files := d.Authority.Files()
+	for _, c := range []struct {
+		cert    string
+		allowed bool
+	}{{"daemon", true}, {"operator", false}} {
+		files.Cert = strings.Replace(files.Cert, filepath.Base(files.Cert), c.cert+".pem", 1)
+		files.Key = strings.Replace(files.Key, filepath.Base(files.Key), c.cert+".key", 1)
+		store, err := credential.Open(files)
+		qt.Assert(t, qt.IsNil(err))
+		client := peer.NewClient(store)
+		_, err = client.Members(d.ctx, inner)
+		qt.Check(t, qt.Equals(err == nil, c.allowed), qt.Commentf("%v", err))
+		client.Close()
+	}
+}
+
 func TestAlteredPlanIsRefused(t *testing.T) {
 	d := openDesk(t, 1, 2)
 	p, err := d.at(0).Plan(d.ctx, d.draining("bookdesk-1"))
