--- a/cmd/skylark-stand/main.go
+++ b/cmd/skylark-stand/main.go
@@ -168,11 +168,11 @@
 
 func printTable(out io.Writer, r *standin.Result) error {
 	w := tabwriter.NewWriter(out, 0, 8, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "TENANT\tSERVICE\tSESSIONS\tREQUESTS\tANSWERED\tNOT RUN\tUNKNOWN\tBROKEN FLOWS\tMOVES\tLOST\tDUPLICATED\tMISROUTED\tCUT\tINCOMPLETE\tIMBALANCE\tP50 MS\tP99 MS\t")
+	fmt.Fprintln(w, "TENANT\tSERVICE\tSESSIONS\tREQUESTS\tANSWERED\tNOT RUN\tUNKNOWN\tBROKEN FLOWS\tMOVES\tLOST\tDUPLICATED\tMISROUTED\tCUT\tINCOMPLETE\tIMBALANCE\tOF SESSIONS\tP50 MS\tP99 MS\t")
 	for _, s := range r.Services {
-		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.1f\t%.1f\t\n",
+		fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.2f\t%.2f\t%.1f\t%.1f\t\n",
 			s.Tenant, s.Service, s.Sessions, s.Requests, s.Answered, s.NotRun, s.Unknown, s.Broken, s.Moves, s.Lost,
-			s.Duplicated, s.Misrouted, s.Cut, s.Incomplete, s.Imbalance, s.P50ms, s.P99ms)
+			s.Duplicated, s.Misrouted, s.Cut, s.Incomplete, s.Imbalance, s.Connections, s.P50ms, s.P99ms)
 	}
 	if err := w.Flush(); err != nil {
 		return err
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -59,41 +59,45 @@
 
 // Services returns the services that the operator may see.
 func (c *Client) Services(ctx context.Context) (s []service.Service, err error) {
-	return s, c.call(ctx, http.MethodGet, "/v1/services", nil, &s)
+	err = c.call(ctx, http.MethodGet, "/v1/services", nil, &s)
+	return s, err
 }
 
 // Service returns the confirmed form of a service.
 func (c *Client) Service(ctx context.Context, name string) (s service.Service, err error) {
-	return s, c.call(ctx, http.MethodGet, "/v1/services/"+url.PathEscape(name), nil, &s)
+	err = c.call(ctx, http.MethodGet, "/v1/services/"+url.PathEscape(name), nil, &s)
+	return s, err
 }
 
 // Plan asks for the plan of a draft; nothing changes.
-func (c *Client) Plan(ctx context.Context, draft service.Service) (*plan.Plan, error) {
-	p := new(plan.Plan)
-	return p, c.call(ctx, http.MethodPost, "/v1/plans", draft, p)
+func (c *Client) Plan(ctx context.Context, draft service.Service) (p *plan.Plan, err error) {
+	p = new(plan.Plan)
+	err = c.call(ctx, http.MethodPost, "/v1/plans", draft, p)
+	return p, err
 }
 
 // Confirm confirms a plan; confirming it again has no further effect.
-func (c *Client) Confirm(ctx context.Context, p *plan.Plan) (Confirmation, error) {
-	var done Confirmation
-	return done, c.call(ctx, http.MethodPost, "/v1/confirmations", p, &done)
+func (c *Client) Confirm(ctx context.Context, p *plan.Plan) (done Confirmation, err error) {
+	err = c.call(ctx, http.MethodPost, "/v1/confirmations", p, &done)
+	return done, err
 }
 
 // Status tells where the configuration of a service is in force.
-func (c *Client) Status(ctx context.Context, name string) (Status, error) {
-	var s Status
-	return s, c.call(ctx, http.MethodGet, "/v1/services/"+url.PathEscape(name)+"/status", nil, &s)
+func (c *Client) Status(ctx context.Context, name string) (s Status, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/services/"+url.PathEscape(name)+"/status", nil, &s)
+	return s, err
 }
 
 // Members returns the balancers, and the targets that the operator may see.
 func (c *Client) Members(ctx context.Context) (m []Member, err error) {
-	return m, c.call(ctx, http.MethodGet, "/v1/members", nil, &m)
+	err = c.call(ctx, http.MethodGet, "/v1/members", nil, &m)
+	return m, err
 }
 
 // Explain tells where a connection ID, in hexadecimal, leads.
-func (c *Client) Explain(ctx context.Context, id string) (Explanation, error) {
-	var e Explanation
-	return e, c.call(ctx, http.MethodGet, "/v1/explanations/"+url.PathEscape(id), nil, &e)
+func (c *Client) Explain(ctx context.Context, id string) (e Explanation, err error) {
+	err = c.call(ctx, http.MethodGet, "/v1/explanations/"+url.PathEscape(id), nil, &e)
+	return e, err
 }
 
 // Problem is an error that the API answered (RFC 9457).
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,7 @@
 	members   *roster.Roster
 	loads     map[netip.AddrPort]uint32
 	target    *target.Target
+	mover     target.Mover
 	catalog   *service.Catalog
 	observers []netip.AddrPort
 	beaten    time.Time // last heartbeat
--- a/internal/agent/counters.go
+++ b/internal/agent/counters.go
@@ -19,6 +19,7 @@
 	orphans         *metrics.Counter
 	handedOn        *metrics.Counter
 	refusedFlows    *metrics.Counter
+	moved           *metrics.Counter
 	queueDrops      *metrics.Counter
 	sendErrors      *metrics.Counter
 	controlInBytes  *metrics.Counter
@@ -40,6 +41,7 @@
 		fenced:          s.NewCounter("skylark_fenced_datagrams_total"),
 		orphans:         s.NewCounter("skylark_orphan_datagrams_total"),
 		handedOn:        s.NewCounter("skylark_flows_handed_on_total"),
+		moved:           s.NewCounter("skylark_sessions_asked_to_move_total"),
 		refusedFlows:    s.NewCounter("skylark_flows_refused_total"),
 		queueDrops:      s.NewCounter("skylark_inbound_queue_drops_total"),
 		sendErrors:      s.NewCounter("skylark_send_errors_total"),
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -111,10 +111,23 @@
 
 func (a *Agent) serveSession(w http.ResponseWriter, _ *http.Request) {
 	moving, _ := a.leaving.get()
+	if !moving && a.overfull() {
+		moving = true
+		a.counters.moved.Inc()
+	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(session.Info{Binding: a.binding(), Target: a.cfg.Name, Moving: moving}) // the caller is gone
 }
 
+// Reports whether the session that asks is to move, since the target has more
+// sessions than its share.
+func (a *Agent) overfull() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	self, others := a.rivals()
+	return a.mover.Move(time.Now(), self, others)
+}
+
 // Returns a fresh binding to this incarnation.
 func (a *Agent) binding() string {
 	return request.Binding{
--- a/internal/standin/action.go
+++ b/internal/standin/action.go
@@ -25,7 +25,8 @@
 
 // Reports whether an event that names a target is about this site.
 func (s *stage) concerns(ev *Event) bool {
-	return ev.Target == "" || s.Agent(ev.Target) != nil
+	_, _, err := s.serviceOf(ev.Target)
+	return ev.Target == "" || err == nil
 }
 
 func (s *stage) act(ctx context.Context, ev *Event) error {
@@ -95,7 +96,47 @@
 	return nil
 }
 
+// Measures how evenly the open sessions are spread over the agents that are
+// ready. An agent that doesn't answer is left out.
+func (s *stage) countConnections(ctx context.Context) {
+	for _, svc := range s.opt.Services {
+		var highest, sum, n float64
+		for name, m := range s.agentsOf(svc.Name) {
+			health, err := m.state(ctx)
+			if err != nil || s.lost[name] || health.State != "ready" {
+				continue
+			}
+			highest, sum, n = max(highest, health.Sessions), sum+health.Sessions, n+1
+		}
+		if sum > 0 {
+			s.connections[svc.Name] = highest * n / sum
+		}
+	}
+}
+
+// Returns the agents of a service that run, by target.
+func (d *Deployment) agentsOf(service string) map[string]*Daemon {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	running := make(map[string]*Daemon)
+	for name, m := range d.agents {
+		if strings.HasPrefix(name, service+"-") && m.Running() {
+			running[name] = m
+		}
+	}
+	return running
+}
+
 func (s *stage) actOnTarget(ctx context.Context, ev *Event) error {
+	if ev.Action == ActionAddTarget {
+		svc, i, err := s.serviceOf(ev.Target)
+		if err != nil {
+			return err
+		}
+		s.changed[ev.Target] = true
+		_, err = s.AddTarget(svc, i)
+		return err
+	}
 	m := s.Agent(ev.Target)
 	if m == nil {
 		return &Error{ev.Action, KindProcess, fmt.Errorf("no target is named %q", ev.Target)}
--- a/internal/standin/experiment.go
+++ b/internal/standin/experiment.go
@@ -68,8 +68,9 @@
 	ActionAddBalancer    = "add_balancer"    // starts one
 	ActionFreezeBalancer = "freeze_balancer" // stops one for delay
 	ActionKillTarget     = "kill_target"
-	ActionStopTarget     = "stop_target" // a planned stop
-	ActionStartTarget    = "start_target"
+	ActionStopTarget     = "stop_target"   // a planned stop
+	ActionStartTarget    = "start_target"  // a new agent for a host that is there
+	ActionAddTarget      = "add_target"    // a new host and its agent
 	ActionFreezeTarget   = "freeze_target" // for delay
 	ActionDrain          = "drain"
 	ActionUndrain        = "undrain"
@@ -85,7 +86,7 @@
 
 var actions = []string{
 	ActionRollBalancers, ActionKillBalancer, ActionAddBalancer, ActionFreezeBalancer, ActionKillTarget, ActionStopTarget,
-	ActionStartTarget, ActionFreezeTarget, ActionDrain, ActionUndrain, ActionKillZone, ActionPlatformDown, ActionPlatformUp,
+	ActionStartTarget, ActionAddTarget, ActionFreezeTarget, ActionDrain, ActionUndrain, ActionKillZone, ActionPlatformDown, ActionPlatformUp,
 	ActionPlatformSlow, ActionLoseAnswers, ActionFaults, ActionSilence, ActionSlowHost,
 }
 
@@ -165,6 +166,7 @@
 	Cut             int      `json:"cut"`
 	Incomplete      int      `json:"incomplete_answers"`
 	Imbalance       float64  `json:"imbalance"`
+	Connections     float64  `json:"connection_imbalance"`
 	ConfigInForceMS float64  `json:"config_in_force_ms"` // the longest
 	Services        []Report `json:"services"`
 	Promises        []string `json:"broken_promises"`
@@ -180,13 +182,14 @@
 // stage is a site that plays.
 type stage struct {
 	*Deployment
-	site     Site
-	operator *admin.Client
-	loads    []*Load
-	lost     map[string]bool // targets that were killed or frozen
-	changed  map[string]bool // hosts that did not serve throughout
-	inForce  []time.Duration
-	progress func(format string, args ...any)
+	site        Site
+	operator    *admin.Client
+	loads       []*Load
+	lost        map[string]bool // targets that were killed or frozen
+	changed     map[string]bool // hosts that did not serve throughout
+	inForce     []time.Duration
+	connections map[string]float64 // max over mean of open sessions per ready agent, by service
+	progress    func(format string, args ...any)
 }
 
 // Run runs the experiment.
@@ -229,7 +232,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &stage{Deployment: d, site: site, lost: make(map[string]bool), changed: make(map[string]bool), progress: opt.Progress}
+	s := &stage{Deployment: d, site: site, lost: make(map[string]bool), changed: make(map[string]bool), connections: make(map[string]float64), progress: opt.Progress}
 	if s.operator, err = d.Operator(); err != nil {
 		return s, err
 	}
@@ -256,6 +259,9 @@
 		loads.Go(func() error { return s.tellNews(run) })
 	}
 	err := e.schedule(run, stages)
+	for _, s := range stages {
+		s.countConnections(ctx)
+	}
 	end()
 	return errors.Join(err, loads.Wait())
 }
@@ -321,6 +327,7 @@
 	for _, s := range stages {
 		for _, l := range s.loads {
 			report := l.Report(s.lost, func(host string) bool { return !s.changed[host] })
+			report.Connections = s.connections[report.Service]
 			r.add(&report)
 		}
 		for _, d := range s.inForce {
@@ -339,6 +346,7 @@
 	r.Cut += s.Cut
 	r.Incomplete += s.Incomplete
 	r.Imbalance = max(r.Imbalance, s.Imbalance)
+	r.Connections = max(r.Connections, s.Connections)
 	r.Services = append(r.Services, *s)
 	r.Promises = append(r.Promises, s.Promises()...)
 }
--- a/internal/standin/load.go
+++ b/internal/standin/load.go
@@ -45,8 +45,10 @@
 	Cut        int     `json:"cut"`                // failed without a failure of their target
 	Incomplete int     `json:"incomplete_answers"` // taken for whole, and not whole
 	Imbalance  float64 `json:"imbalance"`          // max over mean of work per host that served throughout
-	P50ms      float64 `json:"p50_ms"`
-	P99ms      float64 `json:"p99_ms"`
+	// Connections is max over mean of open sessions per ready agent at the end.
+	Connections float64 `json:"connection_imbalance"`
+	P50ms       float64 `json:"p50_ms"`
+	P99ms       float64 `json:"p99_ms"`
 }
 
 // Promises returns what broke a promise, one line each.
--- a/internal/standin/settle.go
+++ b/internal/standin/settle.go
@@ -47,24 +47,39 @@
 	ConfigDigest string `json:"config_digest"`
 }
 
+type agentHealth struct {
+	State    string  `json:"state"`
+	Sessions float64 `json:"sessions"`
+}
+
 // health reads the health endpoint of a balancer.
-func (m *Daemon) health(ctx context.Context) (balancerHealth, error) {
+func (m *Daemon) health(ctx context.Context) (h balancerHealth, err error) {
+	err = m.readHealth(ctx, &h)
+	return h, err
+}
+
+// state reads the health endpoint of an agent.
+func (m *Daemon) state(ctx context.Context) (h agentHealth, err error) {
+	err = m.readHealth(ctx, &h)
+	return h, err
+}
+
+func (m *Daemon) readHealth(ctx context.Context, v any) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	var h balancerHealth
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Ops+"/healthz", nil)
 	if err != nil {
-		return h, &Error{"health", KindProcess, err}
+		return &Error{"health", KindProcess, err}
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return h, &Error{"health", KindProcess, err}
+		return &Error{"health", KindProcess, err}
 	}
 	defer resp.Body.Close()
-	if err := json.NewDecoder(resp.Body).Decode(&h); err != nil {
-		return h, &Error{"health", KindProcess, err}
+	if err := json.NewDecoder(resp.Body).Decode(v); err != nil {
+		return &Error{"health", KindProcess, err}
 	}
-	return h, nil
+	return nil
 }
 
 // Settle waits until every balancer counts the given numbers of live balancers
--- /dev/null
+++ b/internal/target/mover_test.go
@@ -0,0 +1,78 @@
+package target
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-quicktest/qt"
+)
+
+// Lets sessions ask every 10 ms for a time and returns how many were to move.
+func ask(m *Mover, from time.Time, d time.Duration, self Rival, others []Rival) (moved int) {
+	for t := from; t.Before(from.Add(d)); t = t.Add(10 * time.Millisecond) {
+		if m.Move(t, self, others) {
+			moved++
+		}
+	}
+	return moved
+}
+
+func TestMoverIsSlowAndSteady(t *testing.T) {
+	now := time.Unix(1000, 0)
+	self := Rival{agentAddr(1), 1, 700}
+	others := []Rival{{agentAddr(2), 1, 0}}
+	var m Mover
+	qt.Check(t, qt.Equals(ask(&m, now, moveAfter, self, others), 0)) // not on news
+	moved := ask(&m, now.Add(moveAfter), 10*time.Second, self, others)
+	qt.Check(t, qt.IsTrue(moved >= 130 && moved <= 160), qt.Commentf("%d moved, want about 2%% of 700 a second", moved))
+}
+
+func TestMoverLeavesEvenLoadAlone(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		self, other uint32
+		weight      float64
+	}{{10, 8, 1}, {500, 480, 1}, {200, 100, 2}, {5, 0, 1}} {
+		var m Mover
+		self := Rival{agentAddr(1), c.weight, c.self}
+		moved := ask(&m, now, 10*time.Second, self, []Rival{{agentAddr(2), 1, c.other}})
+		qt.Check(t, qt.Equals(moved == 0, c.self != 5), qt.Commentf("%+v: %d moved", c, moved))
+	}
+	var m Mover
+	qt.Check(t, qt.Equals(ask(&m, now, 10*time.Second, Rival{agentAddr(1), 1, 900}, nil), 0))
+}
+
+// A target that starts anew among full ones gets its share, and nobody moves for
+// ever.
+func TestMoversConverge(t *testing.T) {
+	sessions := []uint32{500, 500, 500, 0}
+	movers := make([]Mover, len(sessions))
+	now := time.Unix(1000, 0)
+	last := now
+	for range 6000 { // 60 s
+		now = now.Add(10 * time.Millisecond)
+		for i := range sessions {
+			self := Rival{agentAddr(i), 1, sessions[i]}
+			var others []Rival
+			least := i
+			for j, n := range sessions {
+				if j == i {
+					continue
+				}
+				others = append(others, Rival{agentAddr(j), 1, n})
+				if n < sessions[least] {
+					least = j
+				}
+			}
+			if movers[i].Move(now, self, others) {
+				sessions[i]--
+				sessions[least]++
+				last = now
+			}
+		}
+	}
+	for _, n := range sessions {
+		qt.Check(t, qt.IsTrue(float64(n) <= 375*1.05+slack+1), qt.Commentf("%v", sessions))
+	}
+	qt.Check(t, qt.IsTrue(now.Sub(last) > 20*time.Second), qt.Commentf("last move %v before the end", now.Sub(last)))
+}
