Split long files and give repeated code one place

Cause: reading as a newcomer: capacity.go had 600 lines of four concerns, serve.go and balancer/members.go each two, and opening a host's answer stood twice. Change: problem, health, repair, table, feeder and usage have files of their own; one openAnswer serves requests and feeds; a session's goroutines are counted under its lock, so that none is added while Close waits.

--- a/caller/feed.go
+++ b/caller/feed.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -19,13 +18,6 @@
 	feedQueue = 64       // events read ahead
 )
 
-func jitter(d time.Duration) time.Duration {
-	if d <= 0 {
-		return 0
-	}
-	return rand.N(d)
-}
-
 // Event is one event of a feed.
 type Event struct {
 	ID   string
@@ -141,7 +133,12 @@
 		return nil, err
 	}
 	st := &stream{conn: c, events: make(chan Event, feedQueue), move: make(chan struct{}), cancel: cancel}
-	s.retire.Add(1)
+	if !s.enlist() {
+		_ = resp.Body.Close() // the session has ended
+		c.release()
+		cancel()
+		return nil, &Error{Op: "feed " + path, Kind: Closed, Err: errClosed}
+	}
 	go func() {
 		defer s.retire.Done()
 		defer c.release()
@@ -251,6 +248,7 @@
 				return p.await(ctx, successor)
 			}
 			if err := p.pass(ctx, e); err != nil {
+				discard(successor)
 				return nil, err
 			}
 		case <-move:
@@ -261,7 +259,7 @@
 		case o := <-successor:
 			return o.stream, nil
 		case <-ctx.Done():
-			p.discard(ctx, successor)
+			discard(successor)
 			return nil, ctx.Err()
 		}
 	}
@@ -291,12 +289,13 @@
 	case o := <-successor:
 		return o.stream, nil
 	case <-ctx.Done():
-		p.discard(ctx, successor)
+		discard(successor)
 		return nil, ctx.Err()
 	}
 }
 
-func (p *pump) discard(_ context.Context, successor chan opened) {
+// Ends the successor that was asked for, if any.
+func discard(successor chan opened) {
 	if successor == nil {
 		return
 	}
--- a/caller/session.go
+++ b/caller/session.go
@@ -149,6 +149,25 @@
 	return min(2*d, maxRedial)
 }
 
+func jitter(d time.Duration) time.Duration {
+	if d <= 0 {
+		return 0
+	}
+	return rand.N(d)
+}
+
+// Counts a goroutine that Close waits for, unless the session has ended. The
+// lock keeps it apart from the end of the connection's keeper.
+func (s *Session) enlist() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.retire.Add(1)
+	return true
+}
+
 // Makes c the connection for new requests. The one before ends once nothing is
 // in progress on it.
 func (s *Session) use(c *connection) {
--- a/internal/agent/feed.go
+++ b/internal/agent/feed.go
@@ -23,16 +23,11 @@
 	}
 	ctx, cancel := context.WithCancel(x.ctx)
 	defer cancel()
-	resp, sent, err := a.sendToHost(ctx, x)
-	if err != nil {
-		a.problem(x, lost(sent, err))
+	resp, ok := a.openAnswer(ctx, x)
+	if !ok {
 		return
 	}
 	defer resp.Body.Close()
-	if p, shed := shedding(resp); shed {
-		a.problem(x, p)
-		return
-	}
 	copyHeader(x.w.Header(), resp.Header)
 	x.w.WriteHeader(resp.StatusCode)
 	flusher, _ := x.w.(http.Flusher)
@@ -42,7 +37,7 @@
 	f.write(ctx, a.leaving)
 	cancel()
 	_ = resp.Body.Close() // wakes the reader
-	err = <-ended
+	err := <-ended
 	a.counters.request(x.class.Name, "feed_ended", time.Since(x.started))
 	if err != nil {
 		panic(http.ErrAbortHandler) // the host broke off: no clean end
--- /dev/null
+++ b/internal/agent/health.go
@@ -0,0 +1,35 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"skylarkturn/internal/ops"
+)
+
+type healthView struct {
+	Target   string `json:"target"`
+	State    string `json:"state"`
+	Sessions int64  `json:"sessions"`
+	Busy     int    `json:"busy"`
+}
+
+func (a *Agent) serveOps(ctx context.Context) error {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		a.mu.Lock()
+		state := a.me.State
+		a.mu.Unlock()
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(healthView{a.cfg.Name, state.String(), a.sessions.Load(), a.requests.busy()}) // the prober is gone
+	})
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		a.metrics.WritePrometheus(w)
+		metrics.WritePrometheus(w, true)
+	})
+	ops.Profiles(mux)
+	return ops.Serve(ctx, a.ops, mux)
+}
--- a/internal/agent/host.go
+++ b/internal/agent/host.go
@@ -74,19 +74,30 @@
 	return host
 }
 
-// Relays the answer of the host to an idempotent request as it comes. An answer
-// that breaks off is broken off towards the caller, too.
-func (a *Agent) relay(x *exchange) {
-	resp, sent, err := a.sendToHost(x.ctx, x)
+// Sends the request to the host and returns its answer, whose body the caller
+// closes; when there is none it tells the caller so and returns false.
+func (a *Agent) openAnswer(ctx context.Context, x *exchange) (*http.Response, bool) {
+	resp, sent, err := a.sendToHost(ctx, x)
 	if err != nil {
 		a.problem(x, lost(sent, err))
-		return
+		return nil, false
 	}
-	defer resp.Body.Close()
 	if p, shed := shedding(resp); shed {
+		_ = resp.Body.Close() // its text is replaced by the problem
 		a.problem(x, p)
+		return nil, false
+	}
+	return resp, true
+}
+
+// Relays the answer of the host to an idempotent request as it comes. An answer
+// that breaks off is broken off towards the caller, too.
+func (a *Agent) relay(x *exchange) {
+	resp, ok := a.openAnswer(x.ctx, x)
+	if !ok {
 		return
 	}
+	defer resp.Body.Close()
 	copyHeader(x.w.Header(), resp.Header)
 	if moving, _ := a.leaving.get(); moving {
 		x.w.Header().Set(session.HeaderMove, "1")
--- /dev/null
+++ b/internal/agent/problem.go
@@ -0,0 +1,49 @@
+package agent
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+	"time"
+
+	"skylarkturn/internal/request"
+	"skylarkturn/internal/session"
+)
+
+// problem is an answer of the agent's own, in the form of RFC 9457.
+type problem struct {
+	status     int
+	title      string
+	detail     string
+	outcome    request.Outcome
+	retryAfter time.Duration
+	final      bool
+	move       bool
+}
+
+type problemBody struct {
+	Type    string          `json:"type"`
+	Title   string          `json:"title"`
+	Status  int             `json:"status"`
+	Detail  string          `json:"detail"`
+	Outcome request.Outcome `json:"outcome"`
+}
+
+func (a *Agent) problem(x *exchange, p problem) {
+	h := x.w.Header()
+	h.Set("Content-Type", "application/problem+json")
+	h.Set(session.HeaderOutcome, string(p.outcome))
+	h.Set(session.HeaderBinding, a.binding())
+	if p.retryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.retryAfter.Seconds()))))
+	}
+	if p.final {
+		h.Set(session.HeaderFinal, "1")
+	}
+	if p.move {
+		h.Set(session.HeaderMove, "1")
+	}
+	a.counters.request(x.class.Name, p.title, time.Since(x.started))
+	x.w.WriteHeader(p.status)
+	_ = json.NewEncoder(x.w).Encode(problemBody{"urn:skylarkturn:problem:" + p.title, p.title, p.status, p.detail, p.outcome}) // the caller is gone
+}
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -7,18 +7,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"strconv"
 	"time"
 
-	"skylarkturn/internal/ops"
 	"skylarkturn/internal/peer"
 	"skylarkturn/internal/request"
 	"skylarkturn/internal/service"
 	"skylarkturn/internal/session"
-
-	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
@@ -348,44 +344,6 @@
 	}
 }
 
-// problem is an answer of the agent's own, in the form of RFC 9457.
-type problem struct {
-	status     int
-	title      string
-	detail     string
-	outcome    request.Outcome
-	retryAfter time.Duration
-	final      bool
-	move       bool
-}
-
-type problemBody struct {
-	Type    string          `json:"type"`
-	Title   string          `json:"title"`
-	Status  int             `json:"status"`
-	Detail  string          `json:"detail"`
-	Outcome request.Outcome `json:"outcome"`
-}
-
-func (a *Agent) problem(x *exchange, p problem) {
-	h := x.w.Header()
-	h.Set("Content-Type", "application/problem+json")
-	h.Set(session.HeaderOutcome, string(p.outcome))
-	h.Set(session.HeaderBinding, a.binding())
-	if p.retryAfter > 0 {
-		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(p.retryAfter.Seconds()))))
-	}
-	if p.final {
-		h.Set(session.HeaderFinal, "1")
-	}
-	if p.move {
-		h.Set(session.HeaderMove, "1")
-	}
-	a.counters.request(x.class.Name, p.title, time.Since(x.started))
-	x.w.WriteHeader(p.status)
-	_ = json.NewEncoder(x.w).Encode(problemBody{"urn:skylarkturn:problem:" + p.title, p.title, p.status, p.detail, p.outcome}) // the caller is gone
-}
-
 func (a *Agent) writeAnswer(x *exchange, answer *request.Answer) {
 	h := x.w.Header()
 	if answer.ContentType != "" {
@@ -400,27 +358,3 @@
 	x.w.WriteHeader(answer.Status)
 	_, _ = x.w.Write(answer.Body) // the caller is gone; the ledger has the answer
 }
-
-type healthView struct {
-	Target   string `json:"target"`
-	State    string `json:"state"`
-	Sessions int64  `json:"sessions"`
-	Busy     int    `json:"busy"`
-}
-
-func (a *Agent) serveOps(ctx context.Context) error {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		a.mu.Lock()
-		state := a.me.State
-		a.mu.Unlock()
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(healthView{a.cfg.Name, state.String(), a.sessions.Load(), a.requests.busy()}) // the prober is gone
-	})
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		a.metrics.WritePrometheus(w)
-		metrics.WritePrometheus(w, true)
-	})
-	ops.Profiles(mux)
-	return ops.Serve(ctx, a.ops, mux)
-}
--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"skylarkturn/internal/control"
-	"skylarkturn/internal/flow"
 	"skylarkturn/internal/roster"
 )
 
@@ -17,10 +16,6 @@
 	introduceEvery        = 5 // ticks between attempts to find a first peer
 	reintroduceEvery      = 50
 	reloadEvery           = 10
-	bucketsPerRepair      = 2
-	hashesPerMessage      = 120                   // records left out are sent without need
-	fetchAllRatio         = 2                     // times that a peer must know more members to be fetched from whole
-	rebuildEvery          = 50 * time.Millisecond // at the most, outside of ticks
 )
 
 // Drives what depends on time.
@@ -299,87 +294,6 @@
 	}
 }
 
-// Compares views with a peer: first the hashes of the buckets, then those of the
-// records in some buckets that differ. A balancer that knows little fetches all.
-func (b *Balancer) repair(now time.Time, m *control.Message) []outgoing {
-	b.members.Heard(now, m.From)
-	if len(m.Buckets) > 0 {
-		return b.compareBuckets(m)
-	}
-	if m.Bucket < 0 || m.Bucket >= roster.BucketCount {
-		return nil
-	}
-	out := b.inChunks(m.From.Addr, control.Gossip, b.members.Missing(m.Bucket, m.Hashes))
-	if !m.Reply {
-		out = append(out, b.recordHashes(m.From.Addr, m.Bucket, true))
-	}
-	return out
-}
-
-func (b *Balancer) compareBuckets(m *control.Message) (out []outgoing) {
-	if m.Count > fetchAllRatio*b.members.Len() {
-		b.want(pull{from: m.From.Addr, members: true})
-		return nil
-	}
-	for _, bucket := range b.members.Differing(m.Buckets, bucketsPerRepair) {
-		out = append(out, b.recordHashes(m.From.Addr, bucket, false))
-	}
-	return out
-}
-
-func (b *Balancer) recordHashes(to netip.AddrPort, bucket int, reply bool) outgoing {
-	hashes := b.members.Hashes(bucket)
-	hashes = hashes[:min(len(hashes), hashesPerMessage)]
-	return outgoing{to, &control.Message{Kind: control.Repair, From: b.me, Bucket: bucket, Hashes: hashes, Reply: reply}}
-}
-
-// Rebuilds the routing table if what it is made of has changed; called with mu
-// held.
-func (b *Balancer) rebuild() {
-	if b.built == b.members.Version() && !b.stale {
-		return
-	}
-	b.built, b.stale, b.rebuilt = b.members.Version(), false, time.Now()
-	services := make(map[uint16][]flow.Candidate)
-	suspects := make(map[uint16][]flow.Candidate)
-	current := make(map[netip.AddrPort]uint32)
-	for _, m := range b.members.Members(func(m *roster.Member) bool { return m.Role == roster.Agent }) {
-		b.addTarget(&m, services, suspects, current)
-	}
-	for number, c := range suspects {
-		if len(services[number]) == 0 {
-			services[number] = c
-		}
-	}
-	b.table.Store(flow.NewTable(b.creds.Keys(), services, current))
-	generations := make(map[uint16]uint32)
-	for _, s := range b.catalog.All() {
-		generations[s.Number] = s.Generation
-	}
-	b.generations.Store(&generations)
-}
-
-func (b *Balancer) addTarget(m *roster.Member, services, suspects map[uint16][]flow.Candidate, current map[netip.AddrPort]uint32) {
-	current[m.Addr] = flow.FenceOf(m.Incarnation)
-	if m.State.Certain() {
-		current[m.Addr] = 0
-	}
-	share := 1.0
-	if s, ok := b.catalog.Get(m.Service); ok {
-		share, _ = s.Intent.Share(m.Name, m.Host, m.Zone)
-	}
-	c := flow.Candidate{Agent: m.Addr, Weight: share * float64(m.Warmth) / 100}
-	if c.Weight <= 0 {
-		return
-	}
-	switch m.State {
-	case roster.Ready:
-		services[m.Service] = append(services[m.Service], c)
-	case roster.Suspect:
-		suspects[m.Service] = append(suspects[m.Service], c)
-	}
-}
-
 // Tells some balancers that this one leaves.
 func (b *Balancer) farewell() {
 	b.mu.Lock()
--- a/internal/standin/capacity.go
+++ b/internal/standin/capacity.go
@@ -6,19 +6,15 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
-	"os"
 	"path/filepath"
 	"runtime"
-	"strconv"
-	"strings"
 	"time"
 
-	"golang.org/x/net/ipv4"
 	"golang.org/x/sync/errgroup"
 
 	"skylarkturn/caller"
+	"skylarkturn/internal/admin"
 	"skylarkturn/internal/control"
 	"skylarkturn/internal/flow"
 	"skylarkturn/internal/roster"
@@ -183,161 +179,6 @@
 	return slopes
 }
 
-// usage is what a process has used.
-type usage struct {
-	cpu time.Duration
-	rss float64 // bytes
-	at  time.Time
-}
-
-const clockTick = 10 * time.Millisecond // USER_HZ of Linux is 100
-
-var errStat = errors.New("process statistics are not as expected")
-
-func usageOf(pid int) (usage, error) {
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
-	if err != nil {
-		return usage{}, &Error{"usage", KindProcess, err}
-	}
-	_, rest, ok := strings.Cut(string(stat), ") ")
-	fields := strings.Fields(rest)
-	if !ok || len(fields) < 22 {
-		return usage{}, &Error{"usage", KindProcess, errStat}
-	}
-	user, err1 := strconv.Atoi(fields[11])
-	system, err2 := strconv.Atoi(fields[12])
-	pages, err3 := strconv.Atoi(fields[21])
-	if err := errors.Join(err1, err2, err3); err != nil {
-		return usage{}, &Error{"usage", KindProcess, err}
-	}
-	return usage{time.Duration(user+system) * clockTick, float64(pages * os.Getpagesize()), time.Now()}, nil
-}
-
-// feeder plays all other members of a region towards one balancer.
-type feeder struct {
-	conn   *ipv4.PacketConn
-	udp    *net.UDPConn
-	port   uint16
-	codec  *control.Codec
-	view   *roster.Roster
-	to     netip.AddrPort
-	agents []roster.Member // those that the balancer observes
-}
-
-func newFeeder(secret []byte, to string) (*feeder, error) {
-	udp, err := net.ListenUDP("udp4", &net.UDPAddr{})
-	if err != nil {
-		return nil, &Error{"feeder", KindStart, err}
-	}
-	codec, err := control.NewCodec(secret)
-	if err != nil {
-		return nil, err
-	}
-	f := &feeder{
-		conn: ipv4.NewPacketConn(udp), udp: udp, port: udp.LocalAddr().(*net.UDPAddr).AddrPort().Port(), codec: codec,
-		view: roster.New(roster.DefaultTiming, rand.New(rand.NewPCG(1, 1))),
-	}
-	if f.to, err = netip.ParseAddrPort(to); err != nil {
-		return nil, &Error{"feeder", KindStart, err}
-	}
-	return f, f.conn.SetControlMessage(ipv4.FlagDst, true)
-}
-
-func (f *feeder) here(m roster.Member) roster.Member {
-	m.Addr = netip.AddrPortFrom(m.Addr.Addr(), f.port)
-	return m
-}
-
-func (f *feeder) send(m *control.Message) error {
-	b, err := f.codec.Seal(m)
-	if err != nil {
-		return err
-	}
-	_, err = f.udp.WriteToUDPAddrPort(b, f.to)
-	return err
-}
-
-const feedPause = 2 * time.Millisecond // between messages of a full copy
-
-// Sends the records of so many members.
-func (f *feeder) fill(balancers, agents int) error {
-	var all []roster.Member
-	for i := range balancers {
-		all = append(all, f.here(fakeBalancer(i)))
-	}
-	for i := range agents {
-		all = append(all, f.here(fakeAgent(i)))
-	}
-	for _, m := range all {
-		f.view.Apply(time.Now(), m)
-	}
-	from := f.here(fakeBalancer(0))
-	for len(all) > 0 {
-		n := min(7, len(all))
-		if err := f.send(&control.Message{Kind: control.Gossip, From: from, Members: all[:n], Reply: true}); err != nil {
-			return err
-		}
-		all = all[n:]
-		time.Sleep(feedPause)
-	}
-	return nil
-}
-
-// Answers the balancer's messages as a member with an equal view would.
-func (f *feeder) answer(ctx context.Context) error {
-	buf := make([]byte, 2048)
-	for ctx.Err() == nil {
-		n, cm, _, err := f.conn.ReadFrom(buf)
-		if err != nil {
-			return nil // closed at the end
-		}
-		m, err := f.codec.Open(buf[:n])
-		if err != nil || m.Kind != control.Gossip || m.Reply || cm == nil {
-			continue
-		}
-		dst, _ := netip.AddrFromSlice(cm.Dst.To4())
-		from, ok := f.view.Get(netip.AddrPortFrom(dst, f.port))
-		if !ok || !m.Unknown {
-			continue
-		}
-		if err := f.send(&control.Message{Kind: control.Gossip, From: from, Digest: m.Digest, Config: m.Config, Reply: true}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
-// Sends the heartbeats of the agents that the balancer observes.
-func (f *feeder) beat(ctx context.Context, every time.Duration) error {
-	t := time.NewTicker(every)
-	defer t.Stop()
-	for n := 0; ; n++ {
-		for _, m := range f.agents {
-			m.Name, m.Zone, m.Host = "", "", ""
-			if err := f.send(&control.Message{Kind: control.Heartbeat, From: m, Digest: f.view.ServiceDigest(m.Service), Unknown: n%2 == 0}); err != nil {
-				return err
-			}
-		}
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-t.C:
-		}
-	}
-}
-
-// Finds the agents that the balancer under measurement observes.
-func (f *feeder) observe(self roster.Member) {
-	f.view.Apply(time.Now(), self)
-	for _, m := range f.view.Members(func(m *roster.Member) bool { return m.Role == roster.Agent }) {
-		for _, o := range f.view.Observers(m.Service, roster.ObserverCount) {
-			if o.Addr == self.Addr {
-				f.agents = append(f.agents, m)
-			}
-		}
-	}
-}
-
 // Agents send a heartbeat each 900 ms and ask for an answer with every second one.
 const heartbeatEvery = 900 * time.Millisecond
 
@@ -356,10 +197,7 @@
 
 func measureBalancer(ctx context.Context, opt CapacityOptions, balancers, agents int) (slopes []Slope, err error) {
 	o := Options{Dir: filepath.Join(opt.Dir, fmt.Sprintf("balancer-%d", agents)), Bin: opt.Bin, Zones: []string{"region-1-az1"}}
-	if err := makeDir(o.Dir); err != nil {
-		return nil, err
-	}
-	d, err := NewDeployment(ctx, o)
+	d, err := deployIn(ctx, o)
 	if err != nil {
 		return nil, err
 	}
@@ -454,21 +292,11 @@
 	opt.Progress("agent with %d sessions", opt.Sessions)
 	svc := ServiceOptions{Tenant: "lensbridge", Name: "bookdesk", Number: 17, Hosts: 1, Slots: 64}
 	o := Options{Dir: filepath.Join(opt.Dir, "agent"), Bin: opt.Bin, Zones: []string{"az1"}, Balancers: 1, Services: []ServiceOptions{svc}}
-	if err := makeDir(o.Dir); err != nil {
-		return nil, err
-	}
-	d, err := NewDeployment(ctx, o)
+	d, _, err := deployDeclared(ctx, o)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { err = errors.Join(err, d.Close()) }()
-	operator, err := d.Operator()
-	if err != nil {
-		return nil, err
-	}
-	if err := d.DeclareAll(ctx, operator); err != nil {
-		return nil, err
-	}
 	pid := d.Agent("bookdesk-1").process.Pid
 	idle, err := usageOf(pid)
 	if err != nil {
@@ -555,21 +383,11 @@
 	opt.Progress("platform with %d balancers", balancers)
 	svc := ServiceOptions{Tenant: "lensbridge", Name: "bookdesk", Number: 17, Hosts: 2, Slots: 4}
 	o := Options{Dir: filepath.Join(opt.Dir, "platform"), Bin: opt.Bin, Zones: []string{"az1", "az2"}, Balancers: balancers, Services: []ServiceOptions{svc}}
-	if err := makeDir(o.Dir); err != nil {
-		return nil, err
-	}
-	d, err := NewDeployment(ctx, o)
+	d, operator, err := deployDeclared(ctx, o)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { err = errors.Join(err, d.Close()) }()
-	operator, err := d.Operator()
-	if err != nil {
-		return nil, err
-	}
-	if err := d.DeclareAll(ctx, operator); err != nil {
-		return nil, err
-	}
 	if err := waitUntil(ctx, time.Now().Add(warmUp)); err != nil {
 		return nil, err
 	}
@@ -597,3 +415,27 @@
 		Slope{"change in force everywhere, median", size, quantile(in, 0.5), "ms"},
 		Slope{"change in force everywhere, longest", size, quantile(in, 1), "ms"}), nil
 }
+
+// Starts a deployment in a directory that it makes.
+func deployIn(ctx context.Context, o Options) (*Deployment, error) {
+	if err := makeDir(o.Dir); err != nil {
+		return nil, err
+	}
+	return NewDeployment(ctx, o)
+}
+
+// Starts a deployment and declares its services.
+func deployDeclared(ctx context.Context, o Options) (*Deployment, *admin.Client, error) {
+	d, err := deployIn(ctx, o)
+	if err != nil {
+		return nil, nil, err
+	}
+	operator, err := d.Operator()
+	if err == nil {
+		err = d.DeclareAll(ctx, operator)
+	}
+	if err != nil {
+		return nil, nil, errors.Join(err, d.Close())
+	}
+	return d, operator, nil
+}
--- a/internal/standin/forward.go
+++ b/internal/standin/forward.go
@@ -25,10 +25,7 @@
 	opt.Progress("forwarding over loopback")
 	svc := ServiceOptions{Tenant: "lensbridge", Name: "bookdesk", Number: 17}
 	o := Options{Dir: filepath.Join(opt.Dir, "forward"), Zones: []string{"az1"}, Balancers: 1, Services: []ServiceOptions{svc}}
-	if err := makeDir(o.Dir); err != nil {
-		return nil, err
-	}
-	d, err := NewDeployment(ctx, o)
+	d, err := deployIn(ctx, o)
 	if err != nil {
 		return nil, err
 	}
