--- a/caller/connection.go
+++ b/caller/connection.go
@@ -172,21 +172,30 @@
 	return c.users == 0
 }
 
-// Closes the connection once nothing is in progress on it, or ctx is done.
-func (c *connection) finish(ctx context.Context) {
+// Closes the connection once nothing is in progress on it, or ctx is done. What
+// is in progress is lost, and so tried elsewhere, when the path falls silent.
+func (c *connection) finish(ctx context.Context, heartbeat time.Duration) {
+	defer c.close()
+	defer c.abort()
 	t := time.NewTicker(finishCheck)
 	defer t.Stop()
-	for !c.idle() && ctx.Err() == nil {
+	beaten := time.Now()
+	for !c.idle() {
 		select {
-		case <-t.C:
+		case now := <-t.C:
+			if now.Sub(beaten) < heartbeat {
+				continue
+			}
+			beaten = now
+			if c.beat(ctx) != nil {
+				return
+			}
 		case <-ctx.Done():
+			return
 		case <-c.lost():
-			c.close()
 			return
 		}
 	}
-	c.abort()
-	c.close()
 }
 
 func (c *connection) abort() {
--- a/caller/feed.go
+++ b/caller/feed.go
@@ -235,12 +235,12 @@
 }
 
 // Passes on the events of a stream until it ends, or until its successor is open
-// after the target asked to be left; the successor is opened while events of the
-// old stream still flow.
+// after the target asked to be left, in the stream or at a heartbeat; the successor
+// is opened while events of the old stream still flow.
 func (p *pump) follow(ctx context.Context, st *stream) (*stream, error) {
 	defer st.cancel()
 	var successor chan opened
-	move := st.move
+	move, leave := st.move, st.conn.leave
 	for {
 		select {
 		case e, ok := <-st.events:
@@ -254,6 +254,8 @@
 		case <-move:
 			move = nil
 			st.conn.move()
+		case <-leave:
+			leave = nil
 			p.passed = make(map[string]bool)
 			successor = p.openElsewhere(ctx, st.conn)
 		case o := <-successor:
--- a/caller/session.go
+++ b/caller/session.go
@@ -187,7 +187,7 @@
 	s.retire.Add(1)
 	go func() {
 		defer s.retire.Done()
-		c.finish(s.ctx)
+		c.finish(s.ctx, s.heartbeat)
 	}()
 }
 
--- a/internal/standin/action.go
+++ b/internal/standin/action.go
@@ -49,6 +49,8 @@
 		return s.killZone(ev.Zone)
 	case ActionSlowHost:
 		s.Host(ev.Target).SetSpeed(ev.Count)
+	case ActionLyingHost:
+		s.Host(ev.Target).SetLying(true)
 	case ActionRollBalancers, ActionKillBalancer, ActionAddBalancer, ActionFreezeBalancer:
 		return s.actOnBalancers(ctx, ev)
 	default:
--- a/internal/standin/deployment.go
+++ b/internal/standin/deployment.go
@@ -27,6 +27,7 @@
 	Hosts  int
 	Slots  int
 	Work   time.Duration // time of a request in a slot
+	Cold   time.Duration // after a host's start, in which it works at half its speed
 }
 
 // Options describe a deployment.
@@ -175,7 +176,7 @@
 func (d *Deployment) AddTarget(s ServiceOptions, i int) (*Daemon, error) {
 	name := fmt.Sprintf("%s-%d", s.Name, i)
 	h, err := NewHost(HostOptions{
-		Name: name, Service: s.Name, Slots: s.Slots, Work: s.Work, Journal: d.Journal, Feed: d.Feeds[s.Name],
+		Name: name, Service: s.Name, Slots: s.Slots, Work: s.Work, Journal: d.Journal, Feed: d.Feeds[s.Name], Cold: s.Cold,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/standin/experiment.go
+++ b/internal/standin/experiment.go
@@ -41,6 +41,7 @@
 	Hosts    int               `toml:"hosts"`
 	Slots    int               `toml:"slots"`
 	Work     settings.Duration `toml:"work"` // time of a request in a slot
+	Cold     settings.Duration `toml:"cold"` // after a host's start, in which it works at half its speed
 	Sessions int               `toml:"sessions"`
 	Feed     bool              `toml:"feed"`
 	Path     string            `toml:"path"` // of requests that are not idempotent
@@ -82,12 +83,13 @@
 	ActionFaults         = "faults"        // loss, delay and jitter of datagrams
 	ActionSilence        = "silence"       // all flows open now go silent for good
 	ActionSlowHost       = "slow_host"     // to count percent of its speed
+	ActionLyingHost      = "lying_host"    // its health endpoint says unhealthy while it works
 )
 
 var actions = []string{
 	ActionRollBalancers, ActionKillBalancer, ActionAddBalancer, ActionFreezeBalancer, ActionKillTarget, ActionStopTarget,
 	ActionStartTarget, ActionAddTarget, ActionFreezeTarget, ActionDrain, ActionUndrain, ActionKillZone, ActionPlatformDown, ActionPlatformUp,
-	ActionPlatformSlow, ActionLoseAnswers, ActionFaults, ActionSilence, ActionSlowHost,
+	ActionPlatformSlow, ActionLoseAnswers, ActionFaults, ActionSilence, ActionSlowHost, ActionLyingHost,
 }
 
 const (
@@ -226,7 +228,7 @@
 		return nil, err
 	}
 	for _, svc := range site.Services {
-		o.Services = append(o.Services, ServiceOptions{svc.Tenant, svc.Name, svc.Number, svc.Hosts, svc.Slots, time.Duration(svc.Work)})
+		o.Services = append(o.Services, ServiceOptions{svc.Tenant, svc.Name, svc.Number, svc.Hosts, svc.Slots, time.Duration(svc.Work), time.Duration(svc.Cold)})
 	}
 	d, err := NewDeployment(ctx, o)
 	if err != nil {
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -93,6 +93,7 @@
 	Work    time.Duration // time of a request in a slot
 	Journal *Journal
 	Feed    *FeedLog
+	Cold    time.Duration // after the start, in which the host works at half its speed
 }
 
 // Host stands in for a target's own program.
@@ -103,6 +104,7 @@
 	slow   atomic.Int64 // factor in percent
 	worked atomic.Int64
 	lying  atomic.Bool // says unhealthy while it works
+	since  time.Time
 }
 
 // NewHost opens a host on loopback.
@@ -111,7 +113,7 @@
 	if err != nil {
 		return nil, &Error{"host", KindStart, err}
 	}
-	h := &Host{opt: opt, ln: ln, slots: make(chan struct{}, opt.Slots)}
+	h := &Host{opt: opt, ln: ln, slots: make(chan struct{}, opt.Slots), since: time.Now()}
 	h.slow.Store(100)
 	return h, nil
 }
@@ -128,6 +130,18 @@
 // SetSpeed sets the speed in percent.
 func (h *Host) SetSpeed(percent int) { h.slow.Store(100 * 100 / int64(max(1, percent))) }
 
+// SetLying has the health endpoint say that the host is unhealthy while it works.
+func (h *Host) SetLying(lying bool) { h.lying.Store(lying) }
+
+// Returns the time of the next request in a slot.
+func (h *Host) workTime() time.Duration {
+	d := h.opt.Work * time.Duration(h.slow.Load()) / 100
+	if time.Since(h.since) < h.opt.Cold {
+		d *= 2
+	}
+	return d
+}
+
 // Run serves until ctx is done.
 func (h *Host) Run(ctx context.Context) error {
 	mux := http.NewServeMux()
@@ -154,7 +168,7 @@
 	}
 	defer func() { <-h.slots }()
 	begun()
-	t := time.NewTimer(h.opt.Work * time.Duration(h.slow.Load()) / 100)
+	t := time.NewTimer(h.workTime())
 	defer t.Stop()
 	select {
 	case <-t.C:
