Have a new balancer learn the configuration from its first answer

It fetched the configuration only when another balancer happened to probe it. Ruled out: the platform (up at that time) and the stop of the old balancers. Change: any gossip without news whose configuration differs leads to a fetch; a balancer that does not know the configuration yet says so (503) instead of 404, and asks the platform before it plans to create a service; skylarkctl goes on to its next balancer.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -176,6 +176,9 @@
 
 func (h *Handler) visible(name string, op operator) (service.Service, error) {
 	s, ok := h.system.CatalogService(name)
+	if !ok && h.system.Checked().IsZero() {
+		return service.Service{}, &Error{"find service", KindUnavailable, errors.New("this balancer does not know the configuration yet")}
+	}
 	if !ok || !op.sees(s.Tenant) {
 		return service.Service{}, &Error{"find service", KindNotFound, fmt.Errorf("service %q is not declared", name)}
 	}
@@ -211,16 +214,35 @@
 	if err := op.mayChange(draft.Tenant); err != nil {
 		return nil, err
 	}
-	var current *service.Service
-	if s, ok := h.system.CatalogService(draft.Name); ok {
-		if err := op.mayChange(s.Tenant); err != nil {
+	current, err := h.current(r.Context(), draft.Name)
+	if err != nil {
+		return nil, err
+	}
+	if current != nil {
+		if err := op.mayChange(current.Tenant); err != nil {
 			return nil, err
 		}
-		current = &s
 	}
 	return plan.Make(current, draft, h.agents(draft.Number), h.key)
 }
 
+// Returns the confirmed form of a service, nil when there is none. A balancer that
+// does not know the configuration yet asks the platform, so that it does not plan
+// to create what is there.
+func (h *Handler) current(ctx context.Context, name string) (*service.Service, error) {
+	if s, ok := h.system.CatalogService(name); ok {
+		return &s, nil
+	}
+	if h.objects == nil || !h.system.Checked().IsZero() {
+		return nil, nil
+	}
+	s, _, err := h.read(ctx, name)
+	if err != nil {
+		return nil, &Error{"make plan", KindUnavailable, err}
+	}
+	return s, nil
+}
+
 // Member is a balancer or target as the API shows it.
 type Member struct {
 	Name        string `json:"name"`
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -111,7 +111,8 @@
 // Error returns the kind and the detail.
 func (p *Problem) Error() string { return p.Title + ": " + p.Detail }
 
-// Calls the first balancer that answers: every call may be repeated.
+// Calls the first balancer that answers other than that it can't: every call may
+// be repeated.
 func (c *Client) call(ctx context.Context, method, path string, body, v any) error {
 	var encoded []byte
 	if body != nil {
@@ -124,7 +125,10 @@
 	for _, server := range c.servers {
 		err := c.callOne(ctx, method, "https://"+server+path, encoded, v)
 		var p *Problem
-		if err == nil || errors.As(err, &p) {
+		if err == nil || errors.As(err, &p) && p.Title != KindUnavailable {
+			return err
+		}
+		if p != nil && len(c.servers) == 1 {
 			return err
 		}
 		failed = append(failed, err)
--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -289,7 +289,10 @@
 	}
 	if len(newer) > 0 {
 		b.want(pull{from: m.From.Addr, numbers: newer})
-	} else if m.Config != b.catalog.Digest() && m.Unknown {
+		return
+	}
+	news := len(m.Generations) > 0 || len(m.Members) > 0
+	if !news && m.Config != 0 && m.Config != b.catalog.Digest() {
 		b.want(pull{from: m.From.Addr, all: true})
 	}
 }
--- a/internal/standin/operators_test.go
+++ b/internal/standin/operators_test.go
@@ -224,3 +224,21 @@
 	_, err = d.at(0).Plan(d.ctx, d.draining("nobody"))
 	qt.Check(t, qt.StringContains(problemOf(t, err).Detail, "intent.rules[0]"))
 }
+
+// A balancer that has just started doesn't know the configuration yet. It must not
+// say that a service is not declared: a drain in the demo failed by that.
+func TestNewBalancerSaysThatItDoesNotKnowYet(t *testing.T) {
+	d := openDesk(t, 2, 1)
+	for range 3 {
+		b, err := d.AddBalancer()
+		qt.Assert(t, qt.IsNil(err))
+		for {
+			_, err := d.operator.At(b.Admin).Service(d.ctx, "bookdesk")
+			if err == nil {
+				break
+			}
+			qt.Assert(t, qt.Equals(problemOf(t, err).Status, http.StatusServiceUnavailable))
+			time.Sleep(10 * time.Millisecond)
+		}
+	}
+}
