Repeat no event of a feed that moves twice in a row; try skylarkctl in tests

A connection may be asked to move by its first heartbeat, and the second move dropped what was remembered of the first, before its repeats had come; what was remembered also grew with the feed. Change: a successor skips up to the last event that was passed on.

--- a/caller/feed.go
+++ b/caller/feed.go
@@ -211,7 +211,7 @@
 	path    string
 	lastID  string
 	out     chan<- Event
-	passed  map[string]bool // IDs passed on since a successor was asked for
+	repeats string // ID up to which the stream repeats what was passed on; empty for none
 }
 
 func (p *pump) run(ctx context.Context, st *stream) error {
@@ -221,6 +221,7 @@
 			return nil
 		}
 		if next == nil {
+			p.repeats = ""
 			if next, err = p.session.openStream(ctx, p.path, p.lastID); err != nil {
 				return err
 			}
@@ -229,8 +230,10 @@
 	}
 }
 
+// opened is a successor that was opened after the event with an ID.
 type opened struct {
 	stream *stream
+	after  string
 	err    error
 }
 
@@ -256,10 +259,9 @@
 			st.conn.move()
 		case <-leave:
 			leave = nil
-			p.passed = make(map[string]bool)
 			successor = p.openElsewhere(ctx, st.conn)
 		case o := <-successor:
-			return o.stream, nil
+			return p.adopt(o), nil
 		case <-ctx.Done():
 			discard(successor)
 			return nil, ctx.Err()
@@ -267,16 +269,26 @@
 	}
 }
 
+// Takes over a successor. It repeats the events that the old stream brought after
+// it was asked for. A stream that never opened is tried anew, after the last event.
+func (p *pump) adopt(o opened) *stream {
+	p.repeats = ""
+	if o.after != p.lastID {
+		p.repeats = p.lastID
+	}
+	return o.stream
+}
+
 func (p *pump) openElsewhere(ctx context.Context, old *connection) chan opened {
 	ch := make(chan opened, 1)
 	lastID := p.lastID
 	go func() {
 		if _, err := p.session.other(ctx, old); err != nil {
-			ch <- opened{nil, err}
+			ch <- opened{err: err}
 			return
 		}
 		st, err := p.session.openStream(ctx, p.path, lastID)
-		ch <- opened{st, err}
+		ch <- opened{st, lastID, err}
 	}()
 	return ch
 }
@@ -284,12 +296,11 @@
 // The old stream ended by itself; its successor, if one was asked for, goes on.
 func (p *pump) await(ctx context.Context, successor chan opened) (*stream, error) {
 	if successor == nil {
-		p.passed = nil
 		return nil, nil
 	}
 	select {
 	case o := <-successor:
-		return o.stream, nil
+		return p.adopt(o), nil
 	case <-ctx.Done():
 		discard(successor)
 		return nil, ctx.Err()
@@ -306,8 +317,13 @@
 	}
 }
 
+// Passes an event on unless it repeats one; hosts of a service stream the same
+// events in the same order.
 func (p *pump) pass(ctx context.Context, e Event) error {
-	if e.ID != "" && p.passed[e.ID] {
+	if p.repeats != "" && e.ID != "" {
+		if e.ID == p.repeats {
+			p.repeats = ""
+		}
 		return nil
 	}
 	select {
@@ -317,9 +333,6 @@
 	}
 	if e.ID != "" {
 		p.lastID = e.ID
-		if p.passed != nil {
-			p.passed[e.ID] = true
-		}
 	}
 	return nil
 }
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -174,19 +174,20 @@
 	return visible, nil
 }
 
-func (h *Handler) visible(name string, op operator) (service.Service, error) {
-	s, ok := h.system.CatalogService(name)
-	if !ok && h.system.Checked().IsZero() {
-		return service.Service{}, &Error{"find service", KindUnavailable, errors.New("this balancer does not know the configuration yet")}
+func (h *Handler) visible(r *http.Request, op operator) (*service.Service, error) {
+	name := r.PathValue("name")
+	s, err := h.current(r.Context(), name)
+	if err != nil {
+		return nil, err
 	}
-	if !ok || !op.sees(s.Tenant) {
-		return service.Service{}, &Error{"find service", KindNotFound, fmt.Errorf("service %q is not declared", name)}
+	if s == nil || !op.sees(s.Tenant) {
+		return nil, &Error{"find service", KindNotFound, fmt.Errorf("service %q is not declared", name)}
 	}
 	return s, nil
 }
 
 func (h *Handler) service(r *http.Request, op operator) (any, error) {
-	return h.visible(r.PathValue("name"), op)
+	return h.visible(r, op)
 }
 
 func (h *Handler) agents(number uint16) []roster.Member {
@@ -227,8 +228,8 @@
 }
 
 // Returns the confirmed form of a service, nil when there is none. A balancer that
-// does not know the configuration yet asks the platform, so that it does not plan
-// to create what is there.
+// does not know the configuration yet asks the platform, so that it neither denies
+// nor plans to create what is there.
 func (h *Handler) current(ctx context.Context, name string) (*service.Service, error) {
 	if s, ok := h.system.CatalogService(name); ok {
 		return &s, nil
@@ -238,7 +239,7 @@
 	}
 	s, _, err := h.read(ctx, name)
 	if err != nil {
-		return nil, &Error{"make plan", KindUnavailable, err}
+		return nil, &Error{"find service", KindUnavailable, fmt.Errorf("this balancer does not know the configuration yet: %w", err)}
 	}
 	return s, nil
 }
@@ -285,7 +286,7 @@
 }
 
 func (h *Handler) status(r *http.Request, op operator) (any, error) {
-	s, err := h.visible(r.PathValue("name"), op)
+	s, err := h.visible(r, op)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/operators_test.go
+++ b/internal/standin/operators_test.go
@@ -229,6 +229,7 @@
 // say that a service is not declared: a drain in the demo failed by that.
 func TestNewBalancerSaysThatItDoesNotKnowYet(t *testing.T) {
 	d := openDesk(t, 2, 1)
+	d.Platform.SetDown(true)
 	for range 3 {
 		b, err := d.AddBalancer()
 		qt.Assert(t, qt.IsNil(err))
--- a/internal/standin/path_test.go
+++ b/internal/standin/path_test.go
@@ -28,7 +28,7 @@
 	}
 	defer os.RemoveAll(dir)
 	bin = dir
-	for _, name := range []string{"skylark-balancer", "skylark-agent"} {
+	for _, name := range []string{"skylark-balancer", "skylark-agent", "skylarkctl"} {
 		out, err := exec.Command("go", "build", "-o", filepath.Join(dir, name), "skylarkturn/cmd/"+name).CombinedOutput()
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "%v: %s", err, out)
