Take out code that nothing calls; set test stages up in one place

Cause: a reading of the whole change. Change: Table.Candidates, Gate.SetSlots and balancer.WithHTTPClient had no caller left; the scenes under load and the operators' desk set their deployments up by the same lines.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -66,15 +66,6 @@
 // Option changes how New builds a balancer.
 type Option func(*Balancer)
 
-// WithHTTPClient sets the client for calls to the platform.
-func WithHTTPClient(hc *http.Client) Option {
-	return func(b *Balancer) {
-		if b.cfg.Platform != "" {
-			b.platform = platform.NewClient(b.cfg.Platform, hc)
-		}
-	}
-}
-
 // WithLogger sets the logger; without it nothing is logged.
 func WithLogger(l *log.Logger) Option { return func(b *Balancer) { b.log = l } }
 
--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -15,7 +15,7 @@
 	probeEvery            = 5 // ticks
 	introduceEvery        = 5 // ticks between attempts to find a first peer
 	reintroduceEvery      = 50
-	reloadEvery           = 10
+	reloadEvery           = 10 // ticks between looks at the credential files
 )
 
 // Drives what depends on time.
--- a/internal/flow/router.go
+++ b/internal/flow/router.go
@@ -37,9 +37,6 @@
 	return &Table{keys: keys, services: services, current: current}
 }
 
-// Candidates returns the targets that may be given new flows of the service.
-func (t *Table) Candidates(service uint16) []Candidate { return t.services[service] }
-
 // Router routes datagrams. It is not safe for concurrent use: each worker has
 // its own, with its own scratch block. The zero value is ready.
 type Router struct {
--- a/internal/request/gate.go
+++ b/internal/request/gate.go
@@ -63,9 +63,6 @@
 // Queued returns the number of requests that wait.
 func (g *Gate) Queued() int { return len(g.queue) }
 
-// SetSlots changes the number of slots; requests in progress keep theirs.
-func (g *Gate) SetSlots(n int) { g.limits.Slots = max(1, n) }
-
 // Offer asks for a slot. When refused, retryAfter says when a slot is likely.
 func (g *Gate) Offer(now time.Duration, o Offer) (d Decision, retryAfter time.Duration) {
 	if o.Deadline <= now {
--- a/internal/standin/failure_test.go
+++ b/internal/standin/failure_test.go
@@ -37,29 +37,32 @@
 
 const sessions = 24
 
-// Starts balancers, the targets of one service and a load with feeds, holds and
-// sheets.
-func play(t *testing.T, balancers, hosts int) *scene {
+// Starts balancers and the targets of one service, and declares it. The scenes
+// that play at a time are bounded; the context ends after the given time.
+func stage(t *testing.T, balancers, hosts int, within time.Duration) (*standin.Deployment, context.Context, *admin.Client, standin.ServiceOptions) {
 	t.Helper()
 	t.Parallel()
 	stages <- struct{}{}
 	t.Cleanup(func() { <-stages })
 	svc := bookdesk
 	svc.Hosts = hosts
-	s := &scene{
-		Deployment: deploy(t, standin.Options{Balancers: balancers, Services: []standin.ServiceOptions{svc}}),
-		t:          t,
-		service:    svc,
-		ended:      make(chan error, 1),
-		lost:       make(map[string]bool),
-	}
-	var cancel context.CancelFunc
-	s.ctx, cancel = context.WithTimeout(t.Context(), 2*time.Minute)
+	d := deploy(t, standin.Options{Balancers: balancers, Services: []standin.ServiceOptions{svc}})
+	ctx, cancel := context.WithTimeout(t.Context(), within)
 	t.Cleanup(cancel)
-	var err error
-	s.operator, err = s.Operator()
+	operator, err := d.Operator()
 	qt.Assert(t, qt.IsNil(err))
-	qt.Assert(t, qt.IsNil(s.DeclareAll(s.ctx, s.operator)))
+	qt.Assert(t, qt.IsNil(d.DeclareAll(ctx, operator)))
+	return d, ctx, operator, svc
+}
+
+// Plays a stage under a load with feeds, holds and sheets.
+func play(t *testing.T, balancers, hosts int) *scene {
+	t.Helper()
+	d, ctx, operator, svc := stage(t, balancers, hosts, 2*time.Minute)
+	s := &scene{
+		Deployment: d, t: t, ctx: ctx, operator: operator, service: svc,
+		ended: make(chan error, 1), lost: make(map[string]bool),
+	}
 	s.load = standin.NewLoad(s.Deployment, standin.LoadOptions{
 		Service: svc, Sessions: sessions, Feed: true, Path: "/holds", Sheets: true,
 		Every: 50 * time.Millisecond, Timeout: 20 * time.Second, Caller: quick,
--- a/internal/standin/operators_test.go
+++ b/internal/standin/operators_test.go
@@ -31,19 +31,8 @@
 
 func openDesk(t *testing.T, balancers, hosts int) *desk {
 	t.Helper()
-	t.Parallel()
-	stages <- struct{}{}
-	t.Cleanup(func() { <-stages })
-	svc := bookdesk
-	svc.Hosts = hosts
-	d := &desk{Deployment: deploy(t, standin.Options{Balancers: balancers, Services: []standin.ServiceOptions{svc}}), t: t}
-	var cancel context.CancelFunc
-	d.ctx, cancel = context.WithTimeout(t.Context(), time.Minute)
-	t.Cleanup(cancel)
-	var err error
-	d.operator, err = d.Operator()
-	qt.Assert(t, qt.IsNil(err))
-	qt.Assert(t, qt.IsNil(d.DeclareAll(d.ctx, d.operator)))
+	deployment, ctx, operator, _ := stage(t, balancers, hosts, time.Minute)
+	d := &desk{Deployment: deployment, t: t, ctx: ctx, operator: operator}
 	for _, b := range d.Balancers() {
 		d.balancers = append(d.balancers, b)
 	}
