--- a/cmd/skylark-agent/main.go
+++ b/cmd/skylark-agent/main.go
@@ -10,9 +10,13 @@
 
 	"skylarkturn/internal/agent"
 	"skylarkturn/internal/daemon"
+	"skylarkturn/platform"
 )
 
 func main() {
+	if path, ok := platform.SettingsFile(); ok {
+		os.Exit(runOnPlatform(path))
+	}
 	var cfg agent.Settings
 	os.Exit(daemon.Main("skylark-agent", "Ends callers' sessions beside a target.", &cfg, &cfg.Log, func(ctx context.Context, l *log.Logger) error {
 		a, err := agent.New(cfg, agent.WithLogger(l))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,11 +47,16 @@
 	if f.LogLevel != "" {
 		logging.Level = f.LogLevel
 	}
+	return Run(name, f.Config, Logger(*logging, os.Stderr), run)
+}
+
+// Run calls run with a context that SIGTERM or SIGINT ends, and returns the exit
+// code; config names the settings in errors.
+func Run(name, config string, l *log.Logger, run func(ctx context.Context, l *log.Logger) error) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	l := Logger(*logging, os.Stderr)
 	if err := run(ctx, l); err != nil {
-		err = oops.In(name).With("config", f.Config).Wrap(err)
+		err = oops.In(name).With("config", config).Wrap(err)
 		l.Error().Err(err).Msg("daemon failed")
 		return ExitFailure
 	}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,285 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"skylarkturn/internal/inner"
+	"skylarkturn/internal/link"
+	"skylarkturn/internal/membership"
+	"skylarkturn/internal/ops"
+	"skylarkturn/internal/packet"
+	"skylarkturn/internal/roster"
+	"skylarkturn/internal/route"
+	"skylarkturn/internal/steering"
+)
+
+// KindNetwork is the kind of errors of sockets and peers.
+const KindNetwork = "network"
+
+// Error reports the operation of package entry that failed and why.
+type Error struct {
+	Op   string
+	Kind string
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("entry: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Settings are the settings of a balancer.
+type Settings struct {
+	Name       string
+	Zone       string
+	Packets    netip.AddrPort // UDP address for clients' packets; clients receive at the same port
+	Inner      netip.AddrPort // UDP address for daemons
+	Ops        netip.AddrPort // HTTP address of metrics and of what daemons fetch
+	Ready      netip.AddrPort // HTTP address of the readiness check
+	Heartbeats netip.AddrPort // HTTP address at which hosts may call; not valid for none
+	Seeds      []netip.AddrPort
+	Secret     []byte        // authenticates control messages
+	Grace      time.Duration // from the request to stop to the forced end
+}
+
+// Store is where the operator's configuration and the whereabouts of balancers
+// are kept.
+type Store interface {
+	Config(ctx context.Context) (cfg route.Config, revision uint64, ok bool, err error)
+	AwaitConfig(ctx context.Context, since uint64, wait time.Duration) (cfg route.Config, revision uint64, ok bool, err error)
+	RegisterBalancer(ctx context.Context, name string, inner netip.AddrPort) error
+	ForgetBalancer(ctx context.Context, name string) error
+	Balancers(ctx context.Context) ([]netip.AddrPort, error)
+}
+
+// Handlers make the HTTP handlers that the platform calls.
+type Handlers struct {
+	Ready      func(ready func() bool) http.Handler
+	Heartbeats http.Handler // nil for none
+}
+
+// Balancer is one balancer.
+type Balancer struct {
+	cfg      Settings
+	store    Store
+	format   packet.Format
+	handlers Handlers
+	log      *log.Logger
+	metrics  *metrics.Set
+	counters counters
+	started  time.Time
+
+	clients *net.UDPConn
+	inner   *inner.Socket
+	servers []server
+	peers   *http.Client
+
+	stopping atomic.Bool
+	lastIn   atomic.Int64 // Unix nanoseconds of the last packet of a client
+	newer    chan struct{}
+
+	mu      sync.Mutex // guards what follows
+	steer   *steering.Table
+	members *membership.Balancer
+	synced  uint64 // version of the members that steer has
+}
+
+type server struct {
+	ln net.Listener
+	h  http.Handler
+}
+
+// Option changes how New builds a balancer.
+type Option func(*Balancer)
+
+// WithLogger sets the logger; without it nothing is logged.
+func WithLogger(l *log.Logger) Option { return func(b *Balancer) { b.log = l } }
+
+// New opens the sockets of a balancer.
+func New(cfg Settings, store Store, format packet.Format, handlers Handlers, opts ...Option) (*Balancer, error) {
+	now := time.Now()
+	b := &Balancer{
+		cfg:      cfg,
+		store:    store,
+		format:   format,
+		handlers: handlers,
+		log:      &log.Logger{Level: log.PanicLevel},
+		metrics:  metrics.NewSet(),
+		started:  now,
+		peers:    newPeerClient(),
+		newer:    make(chan struct{}, 1),
+		steer:    steering.New(),
+	}
+	for _, o := range opts {
+		o(b)
+	}
+	b.counters = newCounters(b.metrics)
+	if err := b.open(); err != nil {
+		b.close()
+		return nil, err
+	}
+	me := roster.Member{Name: cfg.Name, Zone: cfg.Zone, Addr: b.inner.Addr(), Incarnation: uint64(now.UnixNano())}
+	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	b.members = membership.NewBalancer(now, me, cfg.Seeds, source)
+	return b, nil
+}
+
+func (b *Balancer) open() (err error) {
+	if b.inner, err = inner.Open(b.cfg.Inner, b.cfg.Secret, b.metrics); err != nil {
+		return err
+	}
+	if b.clients, err = link.ListenUDP(b.cfg.Packets.String()); err != nil {
+		return err
+	}
+	if err := b.listen(b.cfg.Ready, b.handlers.Ready(b.Ready)); err != nil {
+		return err
+	}
+	if b.cfg.Heartbeats.IsValid() && b.handlers.Heartbeats != nil {
+		if err := b.listen(b.cfg.Heartbeats, b.handlers.Heartbeats); err != nil {
+			return err
+		}
+	}
+	return b.listen(b.cfg.Ops, b.opsHandler())
+}
+
+func (b *Balancer) listen(addr netip.AddrPort, h http.Handler) error {
+	ln, err := net.Listen("tcp4", addr.String())
+	if err != nil {
+		return &Error{"listen " + addr.String(), KindNetwork, err}
+	}
+	b.servers = append(b.servers, server{ln, h})
+	return nil
+}
+
+// Closes whatever is open; errors say nothing that matters at the end.
+func (b *Balancer) close() {
+	if b.inner != nil {
+		_ = b.inner.Close()
+	}
+	if b.clients != nil {
+		_ = b.clients.Close()
+	}
+	for _, s := range b.servers {
+		_ = s.ln.Close()
+	}
+	b.peers.CloseIdleConnections()
+}
+
+// Addresses returns the addresses for clients' packets and for daemons.
+func (b *Balancer) Addresses() (packets, inner netip.AddrPort) {
+	return link.LocalAddr(b.clients), b.inner.Addr()
+}
+
+// readyWithin is the time after its start from which a balancer that knows the
+// configuration is ready without knowing any target.
+const readyWithin = 1500 * time.Millisecond
+
+// Ready reports whether the balancer can place flows and is not about to stop.
+func (b *Balancer) Ready() bool {
+	if b.stopping.Load() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.steer.Routes() == nil {
+		return false
+	}
+	return b.steer.TargetCount() > 0 || time.Since(b.started) > readyWithin
+}
+
+// Run serves until ctx is done and the fabric has let go of the balancer, and
+// returns nil, or the error that ended it.
+func (b *Balancer) Run(ctx context.Context) error {
+	defer b.close()
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, running := errgroup.WithContext(running)
+	g.Go(func() error { return b.readClients(running) })
+	g.Go(func() error { return b.inner.Read(running, b) })
+	g.Go(func() error { return b.keepTime(running) })
+	g.Go(func() error { return b.followStore(running) })
+	g.Go(func() error { return b.followPeers(running) })
+	g.Go(func() error { return b.keepRegistered(running) })
+	for _, s := range b.servers {
+		g.Go(func() error { return ops.Serve(running, s.ln, s.h) })
+	}
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			b.retire(running)
+		case <-running.Done():
+		}
+		cancel()
+		b.close()
+		return nil
+	})
+	return g.Wait()
+}
+
+const (
+	// The fabric asks twice a second and lets go after two misses.
+	retireAtLeast = 1600 * time.Millisecond
+	retireQuiet   = 300 * time.Millisecond // without a packet, after which the fabric has let go
+	retireReserve = time.Second            // of the grace, to end in order
+	retireCheck   = 100 * time.Millisecond
+)
+
+// Forwards on while the fabric still sends packets, then says farewell.
+func (b *Balancer) retire(ctx context.Context) {
+	b.stopping.Store(true)
+	b.log.Info().Str("event", "stopping").Msg("readiness withdrawn")
+	began := time.Now()
+	for time.Since(began) < b.cfg.Grace-retireReserve {
+		sleep(ctx, retireCheck)
+		quiet := time.Since(time.Unix(0, b.lastIn.Load()))
+		if ctx.Err() != nil || time.Since(began) > retireAtLeast && quiet > retireQuiet {
+			break
+		}
+	}
+	b.mu.Lock()
+	out := b.members.Farewell(time.Now())
+	b.mu.Unlock()
+	b.sendMessages(out)
+	b.forget(ctx)
+	b.log.Info().Str("event", "stopped").Dur("took", time.Since(began)).Msg("fabric has let go")
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// Reads packets of clients.
+func (b *Balancer) readClients(ctx context.Context) error {
+	buf := make([]byte, maxClientDatagram)
+	var out []steering.Action
+	for {
+		n, _, err := b.clients.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			b.counters.readErrors.Inc() // a reset that a client's VM refused
+			continue
+		}
+		out = b.fromClient(buf[:n], out[:0])
+	}
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"net/netip"
+	"time"
+
+	"skylarkturn/internal/control"
+	"skylarkturn/internal/membership"
+	"skylarkturn/internal/packet"
+	"skylarkturn/internal/parcel"
+	"skylarkturn/internal/steering"
+)
+
+const maxClientDatagram = 2048 // bytes; packets are smaller
+
+// Decides on a datagram from a client's side; out is room for the actions.
+func (b *Balancer) fromClient(raw []byte, out []steering.Action) []steering.Action {
+	now := time.Now()
+	b.lastIn.Store(now.UnixNano())
+	h, err := b.format.Parse(raw)
+	if err != nil || !fromClientAllowed(&h) {
+		b.counters.forged.Inc()
+		return out
+	}
+	b.mu.Lock()
+	out = b.steer.Packet(now, &h, raw, out)
+	b.mu.Unlock()
+	b.act(out)
+	return out
+}
+
+// Reports whether a client may send such a packet: hosts alone accept flows and
+// return packets.
+func fromClientAllowed(h *packet.Head) bool {
+	return !h.Flags.Has(packet.Bounced) && !h.Flags.Has(packet.SYN|packet.ACK)
+}
+
+// Parcel takes an agent's answer.
+func (b *Balancer) Parcel(from netip.AddrPort, h *parcel.Header, content []byte) {
+	if h.Kind != parcel.Owned && h.Kind != parcel.Refused {
+		b.counters.forged.Inc()
+		return
+	}
+	var p *packet.Head
+	if len(content) > 0 {
+		head, err := b.format.Parse(content)
+		if err != nil {
+			b.counters.forged.Inc()
+			return
+		}
+		p = &head
+	}
+	if h.Kind == parcel.Refused {
+		b.counters.refused[h.Reason].Inc()
+	}
+	b.mu.Lock()
+	out := b.steer.Answer(time.Now(), from, h, p, content, nil)
+	b.mu.Unlock()
+	b.act(out)
+}
+
+// Carries out actions.
+func (b *Balancer) act(actions []steering.Action) {
+	for i := range actions {
+		a := &actions[i]
+		b.counters.actions[a.Verb][a.Cause].Inc()
+		switch a.Verb {
+		case steering.Send:
+			h := parcel.Header{Kind: a.Kind, Flow: a.Flow}
+			if a.Service != "" {
+				h.Service = parcel.ServiceIDOf(a.Service)
+			}
+			b.inner.SendParcel(a.Agent, h, a.Packet)
+		case steering.Reset:
+			b.reset(a)
+		}
+		if a.Verb != steering.Send || a.Cause == steering.PlacedAgain {
+			b.logAction(a)
+		}
+	}
+}
+
+func (b *Balancer) reset(a *steering.Action) {
+	var buf [packet.MaxLen]byte
+	raw := b.format.AppendReset(buf[:0], a.Flow, a.ClientAck)
+	to := netip.AddrPortFrom(a.Flow.Client.Addr(), b.cfg.Packets.Port())
+	if _, err := b.clients.WriteToUDPAddrPort(raw, to); err != nil {
+		b.counters.readErrors.Inc()
+	}
+}
+
+func (b *Balancer) logAction(a *steering.Action) {
+	if a.Cause == steering.Waiting {
+		return
+	}
+	e := b.log.Info().Str("event", "flow").Stringer("flow", a.Flow).Stringer("cause", a.Cause)
+	if a.Verb == steering.Reset {
+		e.Str("outcome", "reset")
+	}
+	if a.Agent.IsValid() {
+		e.Stringer("agent", a.Agent)
+	}
+	e.Msg("")
+}
+
+// Message takes a control message.
+func (b *Balancer) Message(m *control.Message) {
+	now := time.Now()
+	b.mu.Lock()
+	out := b.members.Receive(now, m)
+	if m.Kind == control.Heartbeat {
+		b.refresh(m.From.Addr)
+	}
+	b.syncTargets()
+	behind := b.members.Newest().Number > b.steer.Routes().Version()
+	b.mu.Unlock()
+	b.sendMessages(out)
+	if behind {
+		b.wakeFollower()
+	}
+}
+
+func (b *Balancer) sendMessages(out []membership.Outgoing) {
+	if err := b.inner.SendMessages(out); err != nil {
+		b.log.Error().Err(err).Msg("control message not sent")
+	}
+}
+
+// Wakes followPeers, unless it is awake already.
+func (b *Balancer) wakeFollower() {
+	select {
+	case b.newer <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/flowtable/host.go
@@ -0,0 +1,112 @@
+package flowtable
+
+import (
+	"time"
+
+	"skylarkturn/internal/parcel"
+)
+
+// HostState is what a host says of its readiness.
+type HostState uint8
+
+// States of hosts.
+const (
+	HostReady    HostState = iota + 1
+	HostDraining           // takes no new flows and will end soon
+)
+
+// Report is a host's heartbeat.
+type Report struct {
+	ID         string // names the host across restarts
+	Born       int64  // Unix milliseconds of its start; 0 when unknown
+	Seq        uint64 // rises with each report of one incarnation
+	Service    string
+	State      HostState
+	Slots      int           // requests that it runs at a time
+	WarmupLeft time.Duration // time for which it is still slow
+}
+
+// Verdict tells what a report changed.
+type Verdict uint8
+
+// Verdicts on reports.
+const (
+	Unchanged Verdict = iota + 1
+	Stale             // older than what is known; ignored
+	Joined            // a new host, or a new incarnation of the host
+	Changed           // another state or service of the same incarnation
+)
+
+// String returns the verdict in lower case.
+func (v Verdict) String() string {
+	return [...]string{"unknown", "unchanged", "stale", "joined", "changed"}[v%5]
+}
+
+// leaveGrace is the time from a host's farewell to its end, after which its
+// flows are reset.
+const leaveGrace = 150 * time.Millisecond
+
+// staleFor is the time since the last report after which an incarnation with an
+// earlier start is believed: the VM's clock may have been set back.
+const staleFor = 4 * time.Second
+
+// completeAfter is the age from which an agent knows all flows of its host: no
+// flow lives longer.
+const completeAfter = 60 * time.Second
+
+// Host returns the host's newest report; ok is false when no host has
+// registered or it has left.
+func (t *Table) Host() (r Report, ok bool) { return t.host, t.registered }
+
+// Reported takes a host's heartbeat. A report of a new incarnation ends all
+// flows of the one before.
+func (t *Table) Reported(now time.Time, r Report, out []Action) (Verdict, []Action) {
+	old, known := t.host, t.host.ID != ""
+	same := known && old.ID == r.ID && old.Born == r.Born
+	switch {
+	case known && !same && r.Born < old.Born && now.Sub(t.heard) < staleFor:
+		return Stale, out
+	case same && (r.Seq < old.Seq || t.left):
+		return Stale, out
+	}
+	t.host, t.registered, t.heard = r, true, now
+	if same {
+		t.silence = silence{}
+		if old.State != r.State || old.Service != r.Service {
+			return Changed, out
+		}
+		return Unchanged, out
+	}
+	t.left, t.leaveAt = false, time.Time{}
+	t.silence = silence{}
+	if known {
+		out = t.endAll(HostRestarted, out)
+		t.complete = true
+	}
+	return Joined, out
+}
+
+// Left takes a host's farewell and reports whether it came from the current
+// incarnation; its flows are reset when it has had the time to end.
+func (t *Table) Left(now time.Time, id string) bool {
+	if id != t.host.ID || t.left {
+		return false
+	}
+	t.left, t.registered = true, false
+	t.leaveAt = now.Add(leaveGrace)
+	return true
+}
+
+// accepts returns why a new flow for the service can't be given to the host;
+// zero is none.
+func (t *Table) accepts(service parcel.ServiceID) parcel.Reason {
+	switch {
+	case !t.registered:
+		return parcel.NoHost
+	case parcel.ServiceIDOf(t.host.Service) != service:
+		return parcel.WrongService
+	case t.host.State != HostReady:
+		return parcel.Draining
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/hostside/agent.go
@@ -0,0 +1,289 @@
+package hostside
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/phuslu/log"
+	"golang.org/x/sync/errgroup"
+
+	"skylarkturn/internal/flowtable"
+	"skylarkturn/internal/inner"
+	"skylarkturn/internal/link"
+	"skylarkturn/internal/membership"
+	"skylarkturn/internal/ops"
+	"skylarkturn/internal/packet"
+	"skylarkturn/internal/roster"
+)
+
+// KindNetwork is the kind of errors of sockets.
+const KindNetwork = "network"
+
+// Error reports the operation of package hostside that failed and why.
+type Error struct {
+	Op   string
+	Kind string
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("hostside: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Settings are the settings of an agent.
+type Settings struct {
+	Name       string
+	Zone       string
+	Inner      netip.AddrPort // UDP address for daemons
+	Ops        netip.AddrPort // HTTP address of metrics
+	Ready      netip.AddrPort // HTTP address of the readiness check
+	Heartbeats netip.AddrPort // HTTP address that the host reports to
+	Outbound   netip.AddrPort // UDP address that the host sends its packets to
+	Host       netip.AddrPort // UDP and TCP address of the host
+	ClientPort uint16         // UDP port at which clients receive
+	Seeds      []netip.AddrPort
+	Secret     []byte // authenticates control messages
+	FirstStart bool   // no host can have started before the agent
+}
+
+// Store is where daemons whose seeds fail them look for balancers.
+type Store interface {
+	Balancers(ctx context.Context) ([]netip.AddrPort, error)
+}
+
+// Handlers make the HTTP handlers that the platform and the host call.
+type Handlers struct {
+	Ready      func(ready func() bool) http.Handler
+	Heartbeats func(*Agent) http.Handler
+}
+
+// Agent is one agent.
+type Agent struct {
+	cfg      Settings
+	store    Store
+	format   packet.Format
+	handlers Handlers
+	log      *log.Logger
+	metrics  *metrics.Set
+	counters counters
+
+	outbound *net.UDPConn
+	inner    *inner.Socket
+	servers  []server
+	checks   chan struct{}
+
+	mu      sync.Mutex // guards what follows
+	flows   *flowtable.Table
+	members *membership.Agent
+}
+
+type server struct {
+	ln net.Listener
+	h  http.Handler
+}
+
+// Option changes how New builds an agent.
+type Option func(*Agent)
+
+// WithLogger sets the logger; without it nothing is logged.
+func WithLogger(l *log.Logger) Option { return func(a *Agent) { a.log = l } }
+
+// New opens the sockets of an agent.
+func New(cfg Settings, store Store, format packet.Format, handlers Handlers, opts ...Option) (*Agent, error) {
+	now := time.Now()
+	a := &Agent{
+		cfg:      cfg,
+		store:    store,
+		format:   format,
+		handlers: handlers,
+		log:      &log.Logger{Level: log.PanicLevel},
+		metrics:  metrics.NewSet(),
+		checks:   make(chan struct{}, 1),
+		flows:    flowtable.New(now, cfg.FirstStart),
+	}
+	for _, o := range opts {
+		o(a)
+	}
+	a.counters = newCounters(a.metrics)
+	if err := a.open(); err != nil {
+		a.close()
+		return nil, err
+	}
+	me := roster.Member{Name: cfg.Name, Zone: cfg.Zone, Addr: a.inner.Addr(), Incarnation: uint64(now.UnixNano())}
+	a.members = membership.NewAgent(now, me, cfg.Seeds)
+	return a, nil
+}
+
+func (a *Agent) open() (err error) {
+	if a.inner, err = inner.Open(a.cfg.Inner, a.cfg.Secret, a.metrics); err != nil {
+		return err
+	}
+	if a.outbound, err = link.ListenUDP(a.cfg.Outbound.String()); err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) { a.metrics.WritePrometheus(w) })
+	for _, s := range []struct {
+		addr netip.AddrPort
+		h    http.Handler
+	}{
+		{a.cfg.Heartbeats, a.handlers.Heartbeats(a)},
+		{a.cfg.Ready, a.handlers.Ready(func() bool { return true })},
+		{a.cfg.Ops, mux},
+	} {
+		ln, err := net.Listen("tcp4", s.addr.String())
+		if err != nil {
+			return &Error{"listen " + s.addr.String(), KindNetwork, err}
+		}
+		a.servers = append(a.servers, server{ln, s.h})
+	}
+	return nil
+}
+
+// Closes whatever is open; errors say nothing that matters at the end.
+func (a *Agent) close() {
+	if a.inner != nil {
+		_ = a.inner.Close()
+	}
+	if a.outbound != nil {
+		_ = a.outbound.Close()
+	}
+	for _, s := range a.servers {
+		_ = s.ln.Close()
+	}
+}
+
+// Run serves until ctx is done, says farewell, and returns nil, or the error
+// that ended it.
+func (a *Agent) Run(ctx context.Context) error {
+	defer a.close()
+	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	g, running := errgroup.WithContext(running)
+	g.Go(func() error { return a.readHost(running) })
+	g.Go(func() error { return a.inner.Read(running, a) })
+	g.Go(func() error { return a.keepTime(running) })
+	g.Go(func() error { return a.findBalancers(running) })
+	g.Go(func() error { return a.checkHost(running) })
+	for _, s := range a.servers {
+		g.Go(func() error { return ops.Serve(running, s.ln, s.h) })
+	}
+	g.Go(func() error {
+		select {
+		case <-ctx.Done():
+			a.farewell()
+		case <-running.Done():
+		}
+		cancel()
+		a.close()
+		return nil
+	})
+	return g.Wait()
+}
+
+// An agent whose host lives ends at once, since it is missed until it is back.
+func (a *Agent) farewell() {
+	a.mu.Lock()
+	_, hosted := a.flows.Host()
+	out := a.members.Farewell(time.Now(), !hosted)
+	a.mu.Unlock()
+	a.sendMessages(out)
+	a.log.Info().Str("event", "stopped").Bool("for_good", !hosted).Msg("")
+}
+
+// Reads packets of the host.
+func (a *Agent) readHost(ctx context.Context) error {
+	buf := make([]byte, maxHostDatagram)
+	var out []flowtable.Action
+	for {
+		n, _, err := a.outbound.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			a.counters.socketErrors.Inc() // a packet that the host's VM refused
+			continue
+		}
+		out = a.fromHost(buf[:n], out[:0])
+	}
+}
+
+const (
+	checkTimeout = 300 * time.Millisecond // of a connection attempt on the same VM
+	checkEvery   = time.Second
+	seedsAfter   = 2 * time.Second
+	seedsRetry   = 2 * time.Second
+)
+
+// Finds out whether a silent host has ended: a connection that is refused is
+// certain news.
+func (a *Agent) checkHost(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.checks:
+		}
+		ended := a.refused(ctx)
+		a.mu.Lock()
+		out := a.flows.Checked(ended, nil)
+		messages := a.announce(time.Now())
+		a.mu.Unlock()
+		a.log.Info().Str("event", "host_checked").Bool("ended", ended).Int("flows_reset", len(out)).Msg("")
+		a.act(out)
+		a.sendMessages(messages)
+		sleep(ctx, checkEvery)
+	}
+}
+
+// Reports whether the host's VM refuses connections to it.
+func (a *Agent) refused(ctx context.Context) bool {
+	d := net.Dialer{Timeout: checkTimeout}
+	conn, err := d.DialContext(ctx, "tcp4", a.cfg.Host.String())
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
+
+// Looks in the store for balancers while none answers.
+func (a *Agent) findBalancers(ctx context.Context) error {
+	sleep(ctx, seedsAfter)
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		lone := a.members.Lone(time.Now())
+		a.mu.Unlock()
+		if lone {
+			found, err := a.store.Balancers(ctx)
+			if err != nil {
+				a.counters.storeErrors.Inc()
+				a.log.Warn().Str("event", "store_list").Err(err).Msg("")
+			}
+			a.mu.Lock()
+			a.members.AddSeeds(found)
+			a.mu.Unlock()
+		}
+		sleep(ctx, seedsRetry)
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/hostside/forward.go
@@ -0,0 +1,200 @@
+package hostside
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"skylarkturn/internal/control"
+	"skylarkturn/internal/flowtable"
+	"skylarkturn/internal/membership"
+	"skylarkturn/internal/packet"
+	"skylarkturn/internal/parcel"
+	"skylarkturn/internal/roster"
+)
+
+const (
+	maxHostDatagram = 2048 // bytes; packets are smaller
+	fullWarmth      = 100  // percent
+	coldWarmth      = 60   // a host that warms up is some 1.6 times slower
+)
+
+// Parcel takes a client's packet from a balancer.
+func (a *Agent) Parcel(from netip.AddrPort, h *parcel.Header, content []byte) {
+	p, err := a.format.Parse(content)
+	if err != nil || h.Kind != parcel.Deliver && h.Kind != parcel.Ask {
+		a.counters.forged.Inc()
+		return
+	}
+	now := time.Now()
+	a.mu.Lock()
+	out := a.flows.Deliver(now, from, h, &p, content, nil)
+	a.mu.Unlock()
+	a.act(out)
+}
+
+// Decides on a datagram of the host; out is room for the actions.
+func (a *Agent) fromHost(raw []byte, out []flowtable.Action) []flowtable.Action {
+	p, err := a.format.Parse(raw)
+	if err != nil {
+		a.counters.forged.Inc()
+		return out
+	}
+	now := time.Now()
+	a.mu.Lock()
+	out = a.flows.Outbound(now, &p, raw, out)
+	a.mu.Unlock()
+	if p.Flags.Has(packet.Bounced) {
+		a.format.Restore(raw)
+	}
+	a.act(out)
+	return out
+}
+
+// Carries out actions.
+func (a *Agent) act(actions []flowtable.Action) {
+	for i := range actions {
+		x := &actions[i]
+		a.counters.actions[x.Verb][x.Cause].Inc()
+		switch x.Verb {
+		case flowtable.ToHost:
+			a.giveToHost(x.Packet)
+		case flowtable.ToClient:
+			a.send(x.Packet, a.clientAddr(x.Flow))
+		case flowtable.Reply:
+			a.inner.SendParcel(x.Balancer, x.Parcel, x.Packet)
+		case flowtable.Reset:
+			var buf [packet.MaxLen]byte
+			a.send(a.format.AppendReset(buf[:0], x.Flow, x.ClientAck), a.clientAddr(x.Flow))
+		}
+		if x.Cause != flowtable.Usual {
+			a.logAction(x)
+		}
+	}
+}
+
+func (a *Agent) giveToHost(raw []byte) {
+	a.send(raw, a.cfg.Host)
+	a.mu.Lock()
+	a.flows.Given(time.Now())
+	a.mu.Unlock()
+}
+
+func (a *Agent) clientAddr(k packet.Key) netip.AddrPort {
+	return netip.AddrPortFrom(k.Client.Addr(), a.cfg.ClientPort)
+}
+
+func (a *Agent) send(raw []byte, to netip.AddrPort) {
+	if _, err := a.outbound.WriteToUDPAddrPort(raw, to); err != nil {
+		a.counters.socketErrors.Inc()
+	}
+}
+
+func (a *Agent) logAction(x *flowtable.Action) {
+	e := a.log.Info().Str("event", "flow").Stringer("flow", x.Flow).Stringer("cause", x.Cause)
+	switch x.Verb {
+	case flowtable.Reset:
+		e.Str("outcome", "reset")
+	case flowtable.Reply:
+		e.Str("outcome", "refused").Stringer("reason", x.Parcel.Reason).Stringer("balancer", x.Balancer)
+	}
+	e.Msg("")
+}
+
+// Message takes a balancer's answer to a heartbeat.
+func (a *Agent) Message(m *control.Message) {
+	a.mu.Lock()
+	out := a.members.Receive(time.Now(), m)
+	a.mu.Unlock()
+	a.sendMessages(out)
+}
+
+func (a *Agent) sendMessages(out []membership.Outgoing) {
+	if err := a.inner.SendMessages(out); err != nil {
+		a.log.Error().Err(err).Msg("control message not sent")
+	}
+}
+
+// Reported takes a heartbeat of a host.
+func (a *Agent) Reported(r flowtable.Report) {
+	now := time.Now()
+	a.mu.Lock()
+	verdict, out := a.flows.Reported(now, r, nil)
+	messages := a.announce(now)
+	a.mu.Unlock()
+	a.act(out)
+	a.sendMessages(messages)
+	if verdict != flowtable.Unchanged {
+		a.log.Info().Str("event", "host").Str("host", r.ID).Stringer("verdict", verdict).Int64("born", r.Born).
+			Uint64("seq", r.Seq).Str("service", r.Service).Uint8("state", uint8(r.State)).Int("flows_reset", len(out)).Msg("")
+	}
+}
+
+// Left takes the farewell of a host.
+func (a *Agent) Left(id string) {
+	now := time.Now()
+	a.mu.Lock()
+	left := a.flows.Left(now, id)
+	messages := a.announce(now)
+	a.mu.Unlock()
+	a.sendMessages(messages)
+	a.log.Info().Str("event", "host_left").Str("host", id).Bool("current", left).Msg("")
+}
+
+// Returns the messages that tell what has changed about the host; called with
+// mu held.
+func (a *Agent) announce(now time.Time) []membership.Outgoing {
+	host, ok := a.flows.Host()
+	return a.members.Update(now, func(me *roster.Member) {
+		me.State = roster.Starting
+		if ok {
+			me.State = roster.Ready
+			me.Serves = host.Service
+			me.Service = uint16(parcel.ServiceIDOf(host.Service))
+			me.Slots = uint32(host.Slots)
+			me.Warmth = fullWarmth
+		}
+		if host.WarmupLeft > 0 {
+			me.Warmth = coldWarmth
+		}
+		if host.State == flowtable.HostDraining {
+			me.State = roster.Draining
+		}
+		me.Sessions, me.Busy = uint32(a.flows.Flows()), uint32(a.flows.Busy())
+	})
+}
+
+// Drives what depends on time.
+func (a *Agent) keepTime(ctx context.Context) error {
+	for ctx.Err() == nil {
+		a.tick(time.Now())
+		sleep(ctx, membership.TickEvery)
+	}
+	return nil
+}
+
+func (a *Agent) tick(now time.Time) {
+	a.mu.Lock()
+	out := a.flows.Tick(now, nil)
+	messages := a.announce(now)
+	if len(messages) == 0 {
+		messages = a.members.Tick(now)
+	}
+	suspicious := a.flows.Suspicious(now)
+	a.mu.Unlock()
+	a.act(out)
+	a.sendMessages(messages)
+	if suspicious {
+		select {
+		case a.checks <- struct{}{}:
+		default: // a check is under way
+		}
+	}
+}
+
+// AddSeeds adds addresses at which balancers may be found.
+func (a *Agent) AddSeeds(seeds []netip.AddrPort) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.members.AddSeeds(seeds)
+}
--- /dev/null
+++ b/internal/inner/socket.go
@@ -0,0 +1,143 @@
+package inner
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"skylarkturn/internal/control"
+	"skylarkturn/internal/link"
+	"skylarkturn/internal/membership"
+	"skylarkturn/internal/parcel"
+)
+
+// KindNetwork is the kind of errors of sockets.
+const KindNetwork = "network"
+
+// Error reports the operation of package inner that failed and why.
+type Error struct {
+	Op   string
+	Kind string
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("inner: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+const maxDatagram = 4096 // bytes; control messages are kept under control.MaxMessage
+
+// Handler takes what arrives on a Socket; contents are valid until it returns.
+type Handler interface {
+	Parcel(from netip.AddrPort, h *parcel.Header, content []byte)
+	Message(m *control.Message)
+}
+
+// Socket sends and receives messages and parcels.
+type Socket struct {
+	conn  *net.UDPConn
+	codec *control.Codec
+
+	messagesIn, messagesOut *metrics.Counter
+	bytesIn, bytesOut       *metrics.Counter
+	malformed, unsent       *metrics.Counter
+}
+
+// Open listens at the address; secret authenticates control messages.
+func Open(addr netip.AddrPort, secret []byte, set *metrics.Set) (*Socket, error) {
+	codec, err := control.NewCodec(secret)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := link.ListenUDP(addr.String())
+	if err != nil {
+		return nil, err
+	}
+	return &Socket{
+		conn:        conn,
+		codec:       codec,
+		messagesIn:  set.NewCounter(`skylark_control_messages_total{direction="in"}`),
+		messagesOut: set.NewCounter(`skylark_control_messages_total{direction="out"}`),
+		bytesIn:     set.NewCounter(`skylark_control_bytes_total{direction="in"}`),
+		bytesOut:    set.NewCounter(`skylark_control_bytes_total{direction="out"}`),
+		malformed:   set.NewCounter(`skylark_inner_malformed_total`),
+		unsent:      set.NewCounter(`skylark_inner_unsent_total`),
+	}, nil
+}
+
+// Addr returns the address that the socket listens at.
+func (s *Socket) Addr() netip.AddrPort { return link.LocalAddr(s.conn) }
+
+// Close closes the socket, which ends Read.
+func (s *Socket) Close() error { return s.conn.Close() }
+
+// Read hands what arrives to h until ctx is done or the socket is closed.
+func (s *Socket) Read(ctx context.Context, h Handler) error {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			s.unsent.Inc() // an earlier datagram was refused by its receiver
+			continue
+		}
+		s.dispatch(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:n], h)
+	}
+}
+
+func (s *Socket) dispatch(from netip.AddrPort, b []byte, h Handler) {
+	if parcel.Is(b) {
+		header, content, err := parcel.Decode(b)
+		if err != nil {
+			s.malformed.Inc()
+			return
+		}
+		h.Parcel(from, &header, content)
+		return
+	}
+	m, err := s.codec.Open(b)
+	if err != nil {
+		s.malformed.Inc()
+		return
+	}
+	s.messagesIn.Inc()
+	s.bytesIn.Add(len(b))
+	h.Message(m)
+}
+
+// SendMessages sends control messages.
+func (s *Socket) SendMessages(out []membership.Outgoing) error {
+	var failed error
+	for _, o := range out {
+		b, err := s.codec.Seal(o.Message)
+		if err != nil {
+			failed = errors.Join(failed, err)
+			continue
+		}
+		s.messagesOut.Inc()
+		s.bytesOut.Add(len(b))
+		s.send(o.To, b)
+	}
+	return failed
+}
+
+// SendParcel sends a parcel.
+func (s *Socket) SendParcel(to netip.AddrPort, h parcel.Header, content []byte) {
+	var buf [parcel.MaxLen]byte
+	s.send(to, parcel.Append(buf[:0], h, content))
+}
+
+// A datagram that can't be sent is lost, as any datagram may be.
+func (s *Socket) send(to netip.AddrPort, b []byte) {
+	if _, err := s.conn.WriteToUDPAddrPort(b, to); err != nil {
+		s.unsent.Inc()
+	}
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -23,6 +23,7 @@
 const (
 	KindNotFound    Kind = "not_found"
 	KindConflict    Kind = "conflict"    // the condition of an update did not hold
+	KindCompacted   Kind = "compacted"   // the history that a watch asked for is gone
 	KindThrottled   Kind = "throttled"   // too many calls, see Error.RetryAfter
 	KindUnavailable Kind = "unavailable" // no answer, or one that says nothing of the effect
 	KindRefused     Kind = "refused"
@@ -68,22 +69,43 @@
 	Items    []Object `json:"items"`
 }
 
-// Client calls the object API at a base URL.
-type Client struct {
+// Caller makes HTTP calls to a platform and classifies what goes wrong.
+type Caller struct {
 	base  string
 	http  *http.Client
 	calls *metrics.Counter
 }
 
-// NewClient returns a client of the API at base.
-func NewClient(base string, hc *http.Client) *Client {
-	return &Client{
+// NewCaller returns a caller of the HTTP API at base, an URL.
+func NewCaller(base string, hc *http.Client) *Caller {
+	return &Caller{
 		base:  strings.TrimSuffix(base, "/"),
 		http:  hc,
 		calls: metrics.GetOrCreateCounter(`skylark_platform_calls_total`),
 	}
 }
 
+// Request is one call.
+type Request struct {
+	Method  string
+	Path    string // with query, below the base URL
+	Header  http.Header
+	Body    []byte
+	Timeout time.Duration // for the whole call
+}
+
+// Response is the answer to a call that succeeded.
+type Response struct {
+	Header http.Header
+	Body   []byte
+}
+
+// Client calls the object API at a base URL.
+type Client struct{ caller *Caller }
+
+// NewClient returns a client of the API at base.
+func NewClient(base string, hc *http.Client) *Client { return &Client{NewCaller(base, hc)} }
+
 // Get returns one object.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
 	body, etag, err := c.call(ctx, callTimeout, http.MethodGet, "/v1/objects/"+kind+"/"+url.PathEscape(name), nil, nil)
@@ -135,44 +157,55 @@
 }
 
 func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, h http.Header, body []byte) ([]byte, string, error) {
-	op := strings.ToLower(method)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	resp, err := c.caller.Do(ctx, Request{Method: method, Path: path, Header: h, Body: body, Timeout: timeout})
+	if err != nil {
+		return nil, "", err
+	}
+	return resp.Body, resp.Header.Get("ETag"), nil
+}
+
+// Do makes a call; its errors are of type *Error.
+func (c *Caller) Do(ctx context.Context, r Request) (Response, error) {
+	op := strings.ToLower(r.Method)
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, r.Method, c.base+r.Path, bytes.NewReader(r.Body))
 	if err != nil {
-		return nil, "", &Error{Op: op, Kind: KindRefused, Err: err}
+		return Response{}, &Error{Op: op, Kind: KindRefused, Err: err}
 	}
-	for k, v := range h {
+	for k, v := range r.Header {
 		req.Header[k] = v
 	}
 	c.calls.Inc()
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return nil, "", &Error{Op: op, Kind: KindUnavailable, Err: err}
+		return Response{}, &Error{Op: op, Kind: KindUnavailable, Err: err}
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxListBytes))
 	if err != nil {
-		return nil, "", &Error{Op: op, Kind: KindUnavailable, Err: err}
+		return Response{}, &Error{Op: op, Kind: KindUnavailable, Err: err}
 	}
 	if err := check(op, resp, answer); err != nil {
-		return nil, "", err
+		return Response{}, err
 	}
-	return answer, resp.Header.Get("ETag"), nil
+	return Response{resp.Header, answer}, nil
 }
 
 func check(op string, resp *http.Response, body []byte) error {
 	e := &Error{Op: op, Err: fmt.Errorf("status %s: %.200s", resp.Status, body)}
 	switch resp.StatusCode {
-	case http.StatusOK, http.StatusCreated:
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
 		return nil
 	case http.StatusNotFound:
 		e.Kind = KindNotFound
-	case http.StatusPreconditionFailed:
+	case http.StatusConflict, http.StatusPreconditionFailed:
 		e.Kind = KindConflict
+	case http.StatusGone:
+		e.Kind = KindCompacted
 	case http.StatusTooManyRequests:
 		e.Kind = KindThrottled
-		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After"))
+		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After")) // absent or a date: the caller's own delay holds
 		e.RetryAfter = time.Duration(seconds) * time.Second
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge:
 		e.Kind = KindRefused
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -60,6 +60,9 @@
 	Sessions    uint32         `cbor:"10,keyasint,omitempty"` // open sessions; in heartbeats only
 	Generation  uint32         `cbor:"11,keyasint,omitempty"` // configuration generation of its service; in heartbeats only
 	Host        string         `cbor:"12,keyasint,omitempty"` // VM that the target runs on
+	Serves      string         `cbor:"13,keyasint,omitempty"` // name of the service, where services have no numbers
+	Slots       uint32         `cbor:"14,keyasint,omitempty"` // requests that the target runs at a time
+	Busy        uint32         `cbor:"15,keyasint,omitempty"` // requests in progress; in heartbeats only
 }
 
 // Supersedes reports whether m is newer than old, a record of the same address.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -21,6 +21,14 @@
 	AdoptAfter   time.Duration // grace for an agent whose observer this daemon has become
 	GoneAfter    time.Duration // time as suspect
 	ForgetAfter  time.Duration // time that a gone or left member is remembered
+	Observers    int           // balancers that observe a target; 0 is ObserverCount
+}
+
+func (t *Timing) observers() int {
+	if t.Observers == 0 {
+		return ObserverCount
+	}
+	return t.Observers
 }
 
 // DefaultTiming keeps the time from a target's death to its removal from
@@ -90,7 +98,7 @@
 		e.heard = now
 	}
 	e.awaited = time.Time{}
-	e.member.Sessions = m.Sessions
+	e.member.Sessions, e.member.Busy = m.Sessions, m.Busy
 	e.member.Generation = m.Generation
 	return changed
 }
@@ -301,7 +309,7 @@
 // Starts to judge an agent when self has become its observer, and stops when
 // it no longer is.
 func (r *Roster) adopt(now time.Time, e *entry, self netip.AddrPort) {
-	observing := contains(r.Observers(e.member.Service, ObserverCount), self)
+	observing := contains(r.Observers(e.member.Service, r.timing.observers()), self)
 	switch {
 	case !observing:
 		e.heard = time.Time{}
@@ -444,7 +452,8 @@
 	return chosen
 }
 
-// ObserverCount is the number of balancers that observe a target.
+// ObserverCount is the number of balancers that observe a target where Timing
+// gives none.
 const ObserverCount = 2
 
 // Observers returns the n live balancers that observe the targets of a
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,105 @@
+package route
+
+import (
+	"fmt"
+	"time"
+
+	"skylarkturn/internal/packet"
+)
+
+// Share is the part of a route's new flows that a service takes.
+type Share struct {
+	Service string `cbor:"1,keyasint"`
+	Weight  uint32 `cbor:"2,keyasint"` // relative to the route's other shares
+}
+
+// Route sends the new flows to one address and port to services.
+type Route struct {
+	Name   string          `cbor:"1,keyasint"`
+	Listen packet.Endpoint `cbor:"2,keyasint"`
+	Shares []Share         `cbor:"3,keyasint"`
+}
+
+// Service returns the service for a flow with the given hash; ok is false when
+// the route's weights add up to zero.
+func (r *Route) Service(hash uint64) (service string, ok bool) {
+	var total uint64
+	for _, s := range r.Shares {
+		total += uint64(s.Weight)
+	}
+	if total == 0 {
+		return "", false
+	}
+	// The high bits pick the share; placement among targets mixes the hash again.
+	at := (hash >> 32) * total >> 32
+	for _, s := range r.Shares {
+		if at < uint64(s.Weight) {
+			return s.Service, true
+		}
+		at -= uint64(s.Weight)
+	}
+	return "", false
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version     uint64        `cbor:"1,keyasint"` // rises with each change
+	Routes      []Route       `cbor:"2,keyasint"`
+	IdleTimeout time.Duration `cbor:"3,keyasint"` // after which a flow may be discarded; 0 is never
+}
+
+// KindInvalid is the kind of errors for a configuration that can't be used.
+const KindInvalid = "invalid"
+
+// Error reports the operation of package route that failed and why.
+type Error struct {
+	Op   string
+	Kind string
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("route: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// Table finds the route of an address; it is immutable.
+type Table struct {
+	cfg      Config
+	byListen map[packet.Endpoint]*Route
+}
+
+// NewTable returns the table of a configuration, or an error when two routes
+// listen on the same address and port.
+func NewTable(cfg Config) (*Table, error) {
+	t := &Table{cfg: cfg, byListen: make(map[packet.Endpoint]*Route, len(cfg.Routes))}
+	for i := range cfg.Routes {
+		r := &cfg.Routes[i]
+		if other, ok := t.byListen[r.Listen]; ok {
+			err := fmt.Errorf("routes %q and %q both listen on %v", other.Name, r.Name, r.Listen.AddrPort())
+			return nil, &Error{"new table", KindInvalid, err}
+		}
+		t.byListen[r.Listen] = r
+	}
+	return t, nil
+}
+
+// Config returns the configuration that the table was made from.
+func (t *Table) Config() Config { return t.cfg }
+
+// Version returns the version of the table's configuration; a nil table has 0.
+func (t *Table) Version() uint64 {
+	if t == nil {
+		return 0
+	}
+	return t.cfg.Version
+}
+
+// Lookup returns the route for an address and port, or nil.
+func (t *Table) Lookup(listen packet.Endpoint) *Route {
+	if t == nil {
+		return nil
+	}
+	return t.byListen[listen]
+}
--- /dev/null
+++ b/internal/steering/table.go
@@ -0,0 +1,366 @@
+package steering
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"skylarkturn/internal/packet"
+	"skylarkturn/internal/parcel"
+	"skylarkturn/internal/route"
+)
+
+const (
+	maxFlows     = 1 << 17          // remembered owners; some 20 MB at the most
+	flowIdle     = 30 * time.Second // after which an owner is forgotten; asking finds it again
+	maxHeld      = 8                // packets of one flow held while its owner is looked up
+	maxLookups   = 4096             // flows looked up at a time
+	maxAsked     = 64               // agents asked for the owner of one flow
+	waveAfter    = 60 * time.Millisecond
+	askAgain     = 180 * time.Millisecond // shorter than a client's first retransmission
+	lookupFor    = 4 * time.Second        // after which a lookup without result is given up
+	lostFor      = 2 * time.Second        // time that later packets of a lost flow are answered by resets
+	silentWaves  = 3                      // questions that a silent agent must leave open to count as gone
+	sweepPerTick = 2048
+)
+
+// Verb tells what an Action does.
+type Verb uint8
+
+// Verbs of actions.
+const (
+	Send  Verb = iota + 1 // send the packet to the agent
+	Reset                 // reset the client's flow
+	Drop                  // do nothing with the packet
+)
+
+// Cause tells why an action was chosen.
+type Cause uint8
+
+// Causes of actions.
+const (
+	Known       Cause = iota + 1 // the owner is remembered
+	Placed                       // a new flow, on its first target
+	PlacedAgain                  // a new flow, on a later target
+	LookedUp                     // an agent is asked for the owner
+	Found                        // the owner was found
+	NoRoute                      // no route listens on the address
+	NoTarget                     // no target takes the new flow
+	AllRefused                   // every target has refused the new flow
+	Lost                         // no agent holds the flow
+	Unsettled                    // too little is known of the members to decide
+	Waiting                      // the owner is being looked up
+)
+
+var causeNames = [...]string{"unknown", "known", "placed", "placed_again", "looked_up", "found", "no_route", "no_target", "all_refused", "lost", "unsettled", "waiting"}
+
+// Causes is the number of causes, for tables indexed by them.
+const Causes = len(causeNames)
+
+// String returns the cause in snake case.
+func (c Cause) String() string {
+	if int(c) < len(causeNames) {
+		return causeNames[c]
+	}
+	return causeNames[0]
+}
+
+// Action is one thing to do.
+type Action struct {
+	Verb      Verb
+	Cause     Cause
+	Flow      packet.Key
+	Agent     netip.AddrPort // of Send
+	Kind      parcel.Kind    // of Send
+	Service   string         // of Send, when the flow is new
+	Packet    []byte         // of Send
+	ClientAck uint32         // of Reset
+}
+
+type flow struct {
+	owner  netip.AddrPort // not valid while unknown
+	owned  bool           // the owner has confirmed it
+	copies uint32         // number of the newest copy of the opening packet
+	tried  []netip.AddrPort
+	used   time.Time
+	lost   time.Time // when no agent held it
+	lookup *lookup
+}
+
+type lookup struct {
+	waiting []netip.AddrPort // agents that have not answered
+	refused []netip.AddrPort // agents that do not hold the flow
+	held    [][]byte         // packets, the oldest first
+	ack     uint32           // the client's newest acknowledgement number
+	waves   int
+	started time.Time
+	asked   time.Time // when the last wave was sent
+}
+
+// Table is what a balancer knows of flows and targets. It is not safe for
+// concurrent use.
+type Table struct {
+	routes    *route.Table
+	targets   map[netip.AddrPort]*target
+	services  map[string][]*target // in order of agents
+	flows     map[packet.Key]*flow
+	lookups   map[packet.Key]*flow
+	settled   bool
+	evictions uint64
+}
+
+// New returns an empty table.
+func New() *Table {
+	return &Table{
+		targets:  make(map[netip.AddrPort]*target),
+		services: make(map[string][]*target),
+		flows:    make(map[packet.Key]*flow),
+		lookups:  make(map[packet.Key]*flow),
+	}
+}
+
+// SetRoutes puts a version of the configuration in force. Open flows stay
+// where they are.
+func (t *Table) SetRoutes(r *route.Table) { t.routes = r }
+
+// Routes returns the configuration in force; it is nil before the first.
+func (t *Table) Routes() *route.Table { return t.routes }
+
+// SetSettled tells whether the members known are all there are, so that a flow
+// that none of them holds is lost.
+func (t *Table) SetSettled(settled bool) { t.settled = settled }
+
+// Flows returns the number of flows remembered.
+func (t *Table) Flows() int { return len(t.flows) }
+
+// TargetCount returns the number of targets known.
+func (t *Table) TargetCount() int { return len(t.targets) }
+
+// Lookups returns the number of flows whose owners are being looked up.
+func (t *Table) Lookups() int { return len(t.lookups) }
+
+// Evictions returns how many flows were forgotten for want of room.
+func (t *Table) Evictions() uint64 { return t.evictions }
+
+// Put takes what is known of a target; fresh tells that it comes from a new
+// heartbeat, which counts all flows placed there before. It reports whether the
+// target is new or has changed in what placement depends on, its load aside.
+func (t *Table) Put(n Target, fresh bool) bool {
+	old := t.targets[n.Agent]
+	if old == nil {
+		old = &target{hash: agentHash(n.Agent)}
+		t.targets[n.Agent] = old
+	} else if old.Service != n.Service {
+		t.unlist(old)
+	}
+	relist := old.Service != n.Service || !old.Agent.IsValid()
+	before := old.Target
+	before.Flows = n.Flows
+	old.Target = n
+	if fresh {
+		old.placed, old.refusing = 0, false
+	}
+	if relist {
+		t.services[n.Service] = append(t.services[n.Service], old)
+	}
+	return before != n
+}
+
+// Remove forgets a target that has ended; its flows are looked up again.
+func (t *Table) Remove(agent netip.AddrPort) {
+	if old := t.targets[agent]; old != nil {
+		t.unlist(old)
+		delete(t.targets, agent)
+	}
+}
+
+// Targets calls f for each target.
+func (t *Table) Targets(f func(Target)) {
+	for _, n := range t.targets {
+		f(n.Target)
+	}
+}
+
+func (t *Table) unlist(old *target) {
+	list := slices.DeleteFunc(t.services[old.Service], func(o *target) bool { return o == old })
+	if len(list) == 0 {
+		delete(t.services, old.Service)
+		return
+	}
+	t.services[old.Service] = list
+}
+
+// Packet decides on a packet of a client; raw is the packet, which the actions
+// refer to and a lookup copies.
+func (t *Table) Packet(now time.Time, h *packet.Head, raw []byte, out []Action) []Action {
+	k := h.FromClient()
+	f := t.flows[k]
+	if f != nil {
+		f.used = now
+	}
+	if h.Opens() {
+		return t.opening(now, k, f, h, raw, out)
+	}
+	if f != nil && f.owner.IsValid() && t.targets[f.owner] != nil {
+		return append(out, Action{Verb: Send, Cause: Known, Flow: k, Agent: f.owner, Kind: parcel.Deliver, Packet: raw})
+	}
+	if f != nil && now.Sub(f.lost) < lostFor {
+		return append(out, Action{Verb: Reset, Cause: Lost, Flow: k, ClientAck: h.Ack})
+	}
+	if f == nil && t.routes.Lookup(k.Route) == nil {
+		return append(out, Action{Verb: Drop, Cause: NoRoute, Flow: k})
+	}
+	if f == nil {
+		f = t.remember(now, k)
+	}
+	f.owner, f.owned = netip.AddrPort{}, false
+	return t.find(now, k, f, h.Ack, raw, out)
+}
+
+// Decides on a packet that opens a flow.
+func (t *Table) opening(now time.Time, k packet.Key, f *flow, h *packet.Head, raw []byte, out []Action) []Action {
+	if t.routes.Lookup(k.Route) == nil {
+		if t.routes == nil {
+			return append(out, Action{Verb: Drop, Cause: Unsettled, Flow: k})
+		}
+		return append(out, Action{Verb: Reset, Cause: NoRoute, Flow: k, ClientAck: h.Ack})
+	}
+	if f == nil {
+		f = t.remember(now, k)
+		return t.place(k, f, h.Ack, raw, out)
+	}
+	later := h.Ack > f.copies
+	f.copies = max(f.copies, h.Ack)
+	switch owner := t.targets[f.owner]; {
+	case owner != nil && (f.owned || !later):
+		cause := Known
+		if !f.owned {
+			cause = Placed
+		}
+		return append(out, Action{Verb: Send, Cause: cause, Flow: k, Agent: f.owner, Kind: parcel.Deliver, Service: owner.Service, Packet: raw})
+	case f.owner.IsValid():
+		f.tried = append(f.tried, f.owner)
+	}
+	return t.place(k, f, h.Ack, raw, out)
+}
+
+// Places a new flow on a target that has not been tried.
+func (t *Table) place(k packet.Key, f *flow, clientAck uint32, raw []byte, out []Action) []Action {
+	f.owner, f.owned = netip.AddrPort{}, false
+	hash := k.Hash()
+	service, ok := t.routes.Lookup(k.Route).Service(hash)
+	if !ok {
+		return append(out, Action{Verb: Reset, Cause: NoTarget, Flow: k, ClientAck: clientAck})
+	}
+	ranked := rank(hash, t.services[service], func(n *target) bool { return n.open() && !contains(f.tried, n.Agent) })
+	best := ranked.lightest()
+	if best == nil {
+		return append(out, t.unplaced(k, f, clientAck))
+	}
+	f.owner = best.Agent
+	best.placed++
+	cause := Placed
+	if len(f.tried) > 0 {
+		cause = PlacedAgain
+	}
+	return append(out, Action{Verb: Send, Cause: cause, Flow: k, Agent: best.Agent, Kind: parcel.Deliver, Service: service, Packet: raw})
+}
+
+func (t *Table) unplaced(k packet.Key, f *flow, clientAck uint32) Action {
+	switch {
+	case len(f.tried) > 0:
+		f.tried = f.tried[:0] // a later copy may try them again
+		return Action{Verb: Reset, Cause: AllRefused, Flow: k, ClientAck: clientAck}
+	case t.settled:
+		return Action{Verb: Reset, Cause: NoTarget, Flow: k, ClientAck: clientAck}
+	}
+	return Action{Verb: Drop, Cause: Unsettled, Flow: k}
+}
+
+// Answer decides on an agent's answer; raw is the packet that came with it.
+func (t *Table) Answer(now time.Time, from netip.AddrPort, h *parcel.Header, p *packet.Head, raw []byte, out []Action) []Action {
+	if h.Kind == parcel.Owned {
+		return t.ownedBy(now, from, h.Flow, out)
+	}
+	f := t.flows[h.Flow]
+	if f == nil {
+		return out
+	}
+	if p != nil && p.Opens() {
+		return t.refusedOpening(from, h, f, p, raw, out)
+	}
+	if f.lookup != nil {
+		return t.refusedLookup(now, from, h.Flow, f, out)
+	}
+	if f.owner != from || p == nil {
+		return out
+	}
+	f.owner, f.owned = netip.AddrPort{}, false
+	out = t.find(now, h.Flow, f, p.Ack, raw, out)
+	return t.refusedLookup(now, from, h.Flow, f, out)
+}
+
+func (t *Table) ownedBy(now time.Time, from netip.AddrPort, k packet.Key, out []Action) []Action {
+	f := t.flows[k]
+	if f == nil {
+		f = t.remember(now, k)
+	}
+	f.owner, f.owned, f.used, f.lost = from, true, now, time.Time{}
+	l := f.lookup
+	if l == nil {
+		return out
+	}
+	f.lookup = nil
+	delete(t.lookups, k)
+	for _, raw := range l.held[min(1, len(l.held)):] { // the question carried the first
+		out = append(out, Action{Verb: Send, Cause: Found, Flow: k, Agent: from, Kind: parcel.Deliver, Packet: raw})
+	}
+	return out
+}
+
+func (t *Table) refusedOpening(from netip.AddrPort, h *parcel.Header, f *flow, p *packet.Head, raw []byte, out []Action) []Action {
+	if n := t.targets[from]; n != nil && h.Reason != parcel.Full {
+		n.refusing = true
+	}
+	if f.owner != from || t.routes.Lookup(h.Flow.Route) == nil {
+		return out
+	}
+	f.tried = append(f.tried, from)
+	return t.place(h.Flow, f, p.Ack, raw, out)
+}
+
+// Tick continues lookups that wait for answers and forgets flows that are not
+// used.
+func (t *Table) Tick(now time.Time, out []Action) []Action {
+	for k, f := range t.lookups {
+		out = t.continueLookup(now, k, f, out)
+	}
+	n := 0
+	for k, f := range t.flows {
+		if n++; n > sweepPerTick {
+			break
+		}
+		if now.Sub(f.used) > flowIdle {
+			t.forget(k)
+		}
+	}
+	return out
+}
+
+func (t *Table) remember(now time.Time, k packet.Key) *flow {
+	if len(t.flows) >= maxFlows {
+		for victim := range t.flows { // map order serves as a random choice
+			t.forget(victim)
+			t.evictions++
+			break
+		}
+	}
+	f := &flow{used: now}
+	t.flows[k] = f
+	return f
+}
+
+func (t *Table) forget(k packet.Key) {
+	delete(t.flows, k)
+	delete(t.lookups, k)
+}
--- /dev/null
+++ b/internal/steering/target.go
@@ -0,0 +1,96 @@
+package steering
+
+import (
+	"math/bits"
+	"net/netip"
+	"slices"
+
+	"skylarkturn/internal/packet"
+)
+
+// Target is an agent with its host, as the balancer knows it.
+type Target struct {
+	Agent   netip.AddrPort
+	Service string
+	Ready   bool    // takes new flows
+	Silent  bool    // its heartbeats are overdue
+	Weight  float64 // relative share of the service's flows
+	Flows   uint32  // open at its last heartbeat
+}
+
+// choices is the number of targets that compete for a new flow by load. Four
+// leave the fullest of ten targets within a few percent of the mean, and bound
+// the first question for the owner of an unknown flow to four agents.
+const choices = 4
+
+type target struct {
+	Target
+	hash     uint64 // of the agent's address
+	placed   uint32 // flows placed here since its last heartbeat
+	refusing bool   // has refused a new flow since its last heartbeat
+}
+
+// Returns the load of the target if it took one more flow, relative to its share.
+func (t *target) load() float64 {
+	return float64(t.Flows+t.placed+1) / t.Weight
+}
+
+func (t *target) open() bool { return t.Ready && !t.Silent && !t.refusing && t.Weight > 0 }
+
+func agentHash(a netip.AddrPort) uint64 {
+	e := packet.EndpointOf(a)
+	return mix(uint64(e.IP)<<16 | uint64(e.Port))
+}
+
+// Finalizer of SplitMix64.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// ranking holds the targets with the highest rendezvous scores for one flow, in
+// falling order.
+type ranking struct {
+	targets [choices]*target
+	scores  [choices]uint64
+	n       int
+}
+
+func (r *ranking) add(t *target, score uint64) {
+	i := r.n
+	for i > 0 && r.scores[i-1] < score {
+		i--
+	}
+	if i == choices {
+		return
+	}
+	r.n = min(r.n+1, choices)
+	copy(r.targets[i+1:r.n], r.targets[i:])
+	copy(r.scores[i+1:r.n], r.scores[i:])
+	r.targets[i], r.scores[i] = t, score
+}
+
+// Ranks the targets for which keep is true.
+func rank(hash uint64, targets []*target, keep func(*target) bool) (r ranking) {
+	for _, t := range targets {
+		if keep(t) {
+			r.add(t, mix(bits.RotateLeft64(hash, 32)^t.hash))
+		}
+	}
+	return r
+}
+
+// Returns the least loaded of the ranked targets, nil when there is none.
+func (r *ranking) lightest() *target {
+	var best *target
+	for _, t := range r.targets[:r.n] {
+		if best == nil || t.load() < best.load() {
+			best = t
+		}
+	}
+	return best
+}
+
+func contains(list []netip.AddrPort, a netip.AddrPort) bool { return slices.Contains(list, a) }
