Tell clients of lost flows sooner after a loss of all power

Cause: after a power loss, balancers took flows for lost only 3 s after their start, dropped packets until the first target was known, and learned members by 200 ms ticks of six records. Ruled out: process start (6 ms of processor time).

--- a/cmd/skylark-agent/platform.go
+++ b/cmd/skylark-agent/platform.go
@@ -23,11 +23,14 @@
 	l, w := daemon.OutputLogger()
 	defer w.Close()
 	return daemon.Run("skylark-agent", path, l, func(ctx context.Context, l *log.Logger) error {
-		handlers := hostside.Handlers{
-			Ready:      platform.ReadyHandler,
-			Heartbeats: func(a *hostside.Agent) http.Handler { return platform.HeartbeatHandler(a) },
-		}
-		a, err := hostside.New(agentSettings(&s), platform.NewStore(s.Store), platform.Packets{}, handlers, hostside.WithLogger(l))
+		store := platform.NewStore(s.Store)
+		a, err := hostside.New(agentSettings(&s), hostside.Platform{
+			Balancers: store.BalancerRegistry(),
+			Agents:    store.AgentRegistry(),
+			Format:    platform.Packets{},
+			Ready:     platform.ReadyHandler,
+			Hosts:     func(a *hostside.Agent) http.Handler { return platform.HeartbeatHandler(a) },
+		}, hostside.WithLogger(l))
 		if err != nil {
 			return err
 		}
--- a/cmd/skylark-balancer/platform.go
+++ b/cmd/skylark-balancer/platform.go
@@ -23,8 +23,15 @@
 	l, w := daemon.OutputLogger()
 	defer w.Close()
 	return daemon.Run("skylark-balancer", path, l, func(ctx context.Context, l *log.Logger) error {
-		handlers := entry.Handlers{Ready: platform.ReadyHandler, Heartbeats: http.NotFoundHandler()}
-		b, err := entry.New(entrySettings(&s), platform.NewStore(s.Store), platform.Packets{}, handlers, entry.WithLogger(l))
+		store := platform.NewStore(s.Store)
+		b, err := entry.New(entrySettings(&s), entry.Platform{
+			Store:     store,
+			Balancers: store.BalancerRegistry(),
+			Agents:    store.AgentRegistry(),
+			Format:    platform.Packets{},
+			Ready:     platform.ReadyHandler,
+			Hosts:     http.NotFoundHandler(), // hosts report to the agent on their own VM
+		}, entry.WithLogger(l))
 		if err != nil {
 			return err
 		}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -50,13 +50,14 @@
 	Config      uint64           `cbor:"7,keyasint,omitempty"` // hash over the sender's generations
 	Bucket      int              `cbor:"14,keyasint,omitempty"`
 	Hashes      []uint64         `cbor:"15,keyasint,omitempty"` // of the sender's records in Bucket
-	Count       int              `cbor:"16,keyasint,omitempty"` // number of the sender's members
+	Count       int              `cbor:"16,keyasint,omitempty"` // number of the sender's members; of an agent's observers in its heartbeats
 	Reply       bool             `cbor:"8,keyasint,omitempty"`  // asks for no answer of its own
 	Unknown     bool             `cbor:"9,keyasint,omitempty"`  // the sender wants an answer: the receiver's record or, from an agent, an Ack
 	Loads       []Load           `cbor:"10,keyasint,omitempty"`
 	Observers   []netip.AddrPort `cbor:"11,keyasint,omitempty"` // balancers that the agent is to send heartbeats to
 	CheckedAgo  uint32           `cbor:"13,keyasint,omitempty"` // milliseconds since the sender's configuration was known to be the platform's; 0 is unknown
 	Version     uint64           `cbor:"17,keyasint,omitempty"` // configuration version in force at the sender
+	Settled     bool             `cbor:"19,keyasint,omitempty"` // the sender knows all members
 	Known       uint64           `cbor:"18,keyasint,omitempty"` // incarnation that the sender has for the receiver
 	Believed    roster.State     `cbor:"12,keyasint,omitempty"` // state that the sender has for the receiver
 }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -19,17 +18,13 @@
 )
 
 const (
-	watchWait     = 2 * time.Second // bounds how long a watch that hears nothing goes unnoticed
-	minRetry      = 100 * time.Millisecond
-	maxRetry      = time.Second
-	peerTimeout   = time.Second
-	peerDial      = 300 * time.Millisecond
-	peerRetry     = 200 * time.Millisecond
-	maxConfig     = 8 << 20 // bytes of a configuration between peers
-	seedsAfter    = 2 * time.Second
-	seedsRetry    = 2 * time.Second
-	registerRetry = 2 * time.Second
-	forgetTimeout = 300 * time.Millisecond
+	watchWait   = 2 * time.Second // bounds how long a watch that hears nothing goes unnoticed
+	minRetry    = 100 * time.Millisecond
+	maxRetry    = time.Second
+	peerTimeout = time.Second
+	peerDial    = 300 * time.Millisecond
+	peerRetry   = 200 * time.Millisecond
+	maxConfig   = 8 << 20 // bytes of a configuration between peers
 )
 
 // Puts a configuration in force, unless one as new already is, and tells peers.
@@ -91,9 +86,9 @@
 		err      error
 	)
 	if since == 0 {
-		cfg, revision, ok, err = b.store.Config(ctx)
+		cfg, revision, ok, err = b.platform.Store.Config(ctx)
 	} else {
-		cfg, revision, ok, err = b.store.AwaitConfig(ctx, since, watchWait)
+		cfg, revision, ok, err = b.platform.Store.AwaitConfig(ctx, since, watchWait)
 	}
 	if err != nil {
 		return 0, err
@@ -186,48 +181,3 @@
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body) // a peer that has gone asks another
 }
-
-// Notes this balancer's address in the store once, and looks there for others
-// while none is known.
-func (b *Balancer) keepRegistered(ctx context.Context) error {
-	for ctx.Err() == nil {
-		err := b.store.RegisterBalancer(ctx, b.cfg.Name, b.inner.Addr())
-		if err == nil {
-			break
-		}
-		b.counters.storeErrors.Inc()
-		sleep(ctx, registerRetry/2+rand.N(registerRetry))
-	}
-	sleep(ctx, seedsAfter)
-	for ctx.Err() == nil {
-		b.mu.Lock()
-		alone := b.members.Alone()
-		b.mu.Unlock()
-		if alone {
-			b.findPeers(ctx)
-		}
-		sleep(ctx, seedsRetry+rand.N(seedsRetry))
-	}
-	return nil
-}
-
-func (b *Balancer) findPeers(ctx context.Context) {
-	found, err := b.store.Balancers(ctx)
-	if err != nil && !errors.Is(err, context.Canceled) {
-		b.counters.storeErrors.Inc()
-		b.log.Warn().Str("event", "store_list").Err(err).Msg("")
-	}
-	b.mu.Lock()
-	b.members.AddSeeds(found)
-	b.mu.Unlock()
-}
-
-// Removes the note of this balancer's address.
-func (b *Balancer) forget(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, forgetTimeout)
-	defer cancel()
-	if err := b.store.ForgetBalancer(ctx, b.cfg.Name); err != nil {
-		b.counters.storeErrors.Inc()
-		b.log.Warn().Str("event", "store_forget").Err(err).Msg("")
-	}
-}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,28 +56,33 @@
 	Grace      time.Duration // from the request to stop to the forced end
 }
 
-// Store is where the operator's configuration and the whereabouts of balancers
-// are kept.
+// Store is where the operator's configuration is kept.
 type Store interface {
 	Config(ctx context.Context) (cfg route.Config, revision uint64, ok bool, err error)
 	AwaitConfig(ctx context.Context, since uint64, wait time.Duration) (cfg route.Config, revision uint64, ok bool, err error)
-	RegisterBalancer(ctx context.Context, name string, inner netip.AddrPort) error
-	ForgetBalancer(ctx context.Context, name string) error
-	Balancers(ctx context.Context) ([]netip.AddrPort, error)
 }
 
-// Handlers make the HTTP handlers that the platform calls.
-type Handlers struct {
-	Ready      func(ready func() bool) http.Handler
-	Heartbeats http.Handler // nil for none
+// Registry is where daemons of one role note their addresses.
+type Registry interface {
+	Register(ctx context.Context, name string, inner netip.AddrPort) error
+	Forget(ctx context.Context, name string) error
+	List(ctx context.Context, stale bool) (map[string]netip.AddrPort, error)
+}
+
+// Platform is what the balancer uses of the platform around it.
+type Platform struct {
+	Store     Store
+	Balancers Registry
+	Agents    Registry
+	Format    packet.Format
+	Ready     func(ready func() bool) http.Handler
+	Hosts     http.Handler // answers hosts that call the balancer; nil for none
 }
 
 // Balancer is one balancer.
 type Balancer struct {
 	cfg      Settings
-	store    Store
-	format   packet.Format
-	handlers Handlers
+	platform Platform
 	log      *log.Logger
 	metrics  *metrics.Set
 	counters counters
@@ -96,6 +101,7 @@
 	steer   *steering.Table
 	members *membership.Balancer
 	synced  uint64 // version of the members that steer has
+	settled bool   // whether all members have been known
 }
 
 type server struct {
@@ -110,13 +116,11 @@
 func WithLogger(l *log.Logger) Option { return func(b *Balancer) { b.log = l } }
 
 // New opens the sockets of a balancer.
-func New(cfg Settings, store Store, format packet.Format, handlers Handlers, opts ...Option) (*Balancer, error) {
+func New(cfg Settings, p Platform, opts ...Option) (*Balancer, error) {
 	now := time.Now()
 	b := &Balancer{
 		cfg:      cfg,
-		store:    store,
-		format:   format,
-		handlers: handlers,
+		platform: p,
 		log:      &log.Logger{Level: log.PanicLevel},
 		metrics:  metrics.NewSet(),
 		started:  now,
@@ -145,11 +149,11 @@
 	if b.clients, err = link.ListenUDP(b.cfg.Packets.String()); err != nil {
 		return err
 	}
-	if err := b.listen(b.cfg.Ready, b.handlers.Ready(b.Ready)); err != nil {
+	if err := b.listen(b.cfg.Ready, b.platform.Ready(b.Ready)); err != nil {
 		return err
 	}
-	if b.cfg.Heartbeats.IsValid() && b.handlers.Heartbeats != nil {
-		if err := b.listen(b.cfg.Heartbeats, b.handlers.Heartbeats); err != nil {
+	if b.cfg.Heartbeats.IsValid() && b.platform.Hosts != nil {
+		if err := b.listen(b.cfg.Heartbeats, b.platform.Hosts); err != nil {
 			return err
 		}
 	}
@@ -214,6 +218,7 @@
 	g.Go(func() error { return b.followStore(running) })
 	g.Go(func() error { return b.followPeers(running) })
 	g.Go(func() error { return b.keepRegistered(running) })
+	g.Go(func() error { return b.learnAgents(running) })
 	for _, s := range b.servers {
 		g.Go(func() error { return ops.Serve(running, s.ln, s.h) })
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -17,7 +17,7 @@
 func (b *Balancer) fromClient(raw []byte, out []steering.Action) []steering.Action {
 	now := time.Now()
 	b.lastIn.Store(now.UnixNano())
-	h, err := b.format.Parse(raw)
+	h, err := b.platform.Format.Parse(raw)
 	if err != nil || !fromClientAllowed(&h) {
 		b.counters.forged.Inc()
 		return out
@@ -43,7 +43,7 @@
 	}
 	var p *packet.Head
 	if len(content) > 0 {
-		head, err := b.format.Parse(content)
+		head, err := b.platform.Format.Parse(content)
 		if err != nil {
 			b.counters.forged.Inc()
 			return
@@ -82,7 +82,7 @@
 
 func (b *Balancer) reset(a *steering.Action) {
 	var buf [packet.MaxLen]byte
-	raw := b.format.AppendReset(buf[:0], a.Flow, a.ClientAck)
+	raw := b.platform.Format.AppendReset(buf[:0], a.Flow, a.ClientAck)
 	to := netip.AddrPortFrom(a.Flow.Client.Addr(), b.cfg.Packets.Port())
 	if _, err := b.clients.WriteToUDPAddrPort(raw, to); err != nil {
 		b.counters.readErrors.Inc()
@@ -111,10 +111,12 @@
 	if m.Kind == control.Heartbeat {
 		b.refresh(m.From.Addr)
 	}
-	b.syncTargets()
+	b.settle(now)
+	actions := b.syncTargets(now)
 	behind := b.members.Newest().Number > b.steer.Routes().Version()
 	b.mu.Unlock()
 	b.sendMessages(out)
+	b.act(actions)
 	if behind {
 		b.wakeFollower()
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -5,7 +5,6 @@
 	"net/netip"
 	"time"
 
-	"skylarkturn/internal/membership"
 	"skylarkturn/internal/roster"
 	"skylarkturn/internal/steering"
 )
@@ -17,30 +16,20 @@
 
 // Drives what depends on time.
 func (b *Balancer) keepTime(ctx context.Context) error {
-	var ticked time.Time
 	for ctx.Err() == nil {
-		now := time.Now()
-		members := now.Sub(ticked) >= membership.TickEvery
-		if members {
-			ticked = now
-		}
-		sleep(ctx, b.tick(now, members))
+		sleep(ctx, b.tick(time.Now()))
 	}
 	return nil
 }
 
 // Does what is due, and returns the time until the next tick.
-func (b *Balancer) tick(now time.Time, members bool) time.Duration {
-	var out []membership.Outgoing
+func (b *Balancer) tick(now time.Time) time.Duration {
 	b.mu.Lock()
-	if members {
-		out = b.members.Tick(now)
-		b.steer.SetSettled(b.members.Settled(now))
-		b.syncTargets()
-	}
-	actions := b.steer.Tick(now, nil)
-	next := membership.TickEvery
-	if b.steer.Lookups() > 0 {
+	out := b.members.Tick(now)
+	b.settle(now)
+	actions := b.steer.Tick(now, b.syncTargets(now))
+	next := b.members.TickAfter(now)
+	if b.steer.Pending() > 0 {
 		next = lookupTick
 	}
 	b.mu.Unlock()
@@ -49,11 +38,22 @@
 	return next
 }
 
-// Takes over what the members' heartbeats changed; called with mu held.
-func (b *Balancer) syncTargets() {
+// Notes whether all members are known; called with mu held.
+func (b *Balancer) settle(now time.Time) {
+	if b.settled || !b.members.Settled(now) {
+		return
+	}
+	b.settled = true
+	b.steer.SetSettled(true)
+	b.log.Info().Str("event", "settled").Dur("age", now.Sub(b.started)).Int("targets", b.steer.TargetCount()).Msg("")
+}
+
+// Takes over what changed about members, and returns what that gives rise to;
+// called with mu held.
+func (b *Balancer) syncTargets(now time.Time) (out []steering.Action) {
 	members := b.members.Members()
 	if b.synced == members.Version() {
-		return
+		return nil
 	}
 	b.synced = members.Version()
 	for _, m := range members.Members(func(m *roster.Member) bool { return m.Role == roster.Agent }) {
@@ -66,9 +66,11 @@
 		}
 	})
 	for _, a := range ended {
-		b.steer.Remove(a)
-		b.log.Info().Str("event", "target_removed").Stringer("agent", a).Msg("")
+		before := len(out)
+		out = b.steer.Remove(now, a, out)
+		b.log.Info().Str("event", "target_removed").Stringer("agent", a).Int("flows_reset", len(out)-before).Msg("")
 	}
+	return out
 }
 
 // Takes over an agent's heartbeat; called with mu held.
--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -66,6 +66,8 @@
 	switch {
 	case known && !same && r.Born < old.Born && now.Sub(t.heard) < staleFor:
 		return Stale, out
+	case !same && t.retired[incarnation{r.ID, r.Born}]:
+		return Stale, out
 	case same && (r.Seq < old.Seq || t.left):
 		return Stale, out
 	}
@@ -80,12 +82,29 @@
 	t.left, t.leaveAt = false, time.Time{}
 	t.silence = silence{}
 	if known {
+		t.retire(old)
 		out = t.endAll(HostRestarted, out)
 		t.complete = true
 	}
 	return Joined, out
 }
 
+type incarnation struct {
+	id   string
+	born int64
+}
+
+// maxRetired is the number of incarnations remembered so that late reports of
+// theirs are known.
+const maxRetired = 64
+
+func (t *Table) retire(r Report) {
+	if len(t.retired) >= maxRetired {
+		clear(t.retired)
+	}
+	t.retired[incarnation{r.ID, r.Born}] = true
+}
+
 // Left takes a host's farewell and reports whether it came from the current
 // incarnation; its flows are reset when it has had the time to end.
 func (t *Table) Left(now time.Time, id string) bool {
--- a/internal/flowtable/silence.go
+++ b/internal/flowtable/silence.go
@@ -1,6 +1,10 @@
 package flowtable
 
-import "time"
+import (
+	"time"
+
+	"skylarkturn/internal/parcel"
+)
 
 // silence counts what has been given to the host since it last sent anything.
 type silence struct {
@@ -20,9 +24,13 @@
 	t.silence.packets++
 }
 
-// Suspicious reports whether the host has been silent for so long, while
-// packets for it arrived, that it may have ended.
+// Suspicious reports whether the host may have ended: it has been silent for some
+// time while packets for it arrived, or it has never been heard of while
+// balancers ask for its flows.
 func (t *Table) Suspicious(now time.Time) bool {
+	if t.host.ID == "" && len(t.questions) > 0 {
+		return true
+	}
 	return t.silence.packets >= silenceBounds && now.Sub(t.silence.since) >= silentAfter
 }
 
@@ -35,5 +43,8 @@
 	}
 	t.registered = false
 	t.complete = true
+	for k, q := range t.questions {
+		out = append(out, refusal(k, q.from, parcel.Ask, parcel.NotHeld, nil))
+	}
 	return t.endAll(HostEnded, out)
 }
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -108,6 +108,7 @@
 	silence    silence
 	flows      map[packet.Key]*flow
 	questions  map[packet.Key]question // put to the host
+	retired    map[incarnation]bool    // incarnations of the host that have ended
 	live       int                     // flows that are not closed
 	busy       int
 	evictions  uint64
@@ -121,6 +122,7 @@
 		complete:  first,
 		flows:     make(map[packet.Key]*flow),
 		questions: make(map[packet.Key]question),
+		retired:   make(map[incarnation]bool),
 	}
 }
 
--- a/internal/hostside/agent.go
+++ b/internal/hostside/agent.go
@@ -56,23 +56,26 @@
 	FirstStart bool   // no host can have started before the agent
 }
 
-// Store is where daemons whose seeds fail them look for balancers.
-type Store interface {
-	Balancers(ctx context.Context) ([]netip.AddrPort, error)
+// Registry is where daemons of one role note their addresses.
+type Registry interface {
+	Register(ctx context.Context, name string, inner netip.AddrPort) error
+	Forget(ctx context.Context, name string) error
+	List(ctx context.Context, stale bool) (map[string]netip.AddrPort, error)
 }
 
-// Handlers make the HTTP handlers that the platform and the host call.
-type Handlers struct {
-	Ready      func(ready func() bool) http.Handler
-	Heartbeats func(*Agent) http.Handler
+// Platform is what the agent uses of the platform around it.
+type Platform struct {
+	Balancers Registry
+	Agents    Registry
+	Format    packet.Format
+	Ready     func(ready func() bool) http.Handler
+	Hosts     func(*Agent) http.Handler // takes the host's heartbeats
 }
 
 // Agent is one agent.
 type Agent struct {
 	cfg      Settings
-	store    Store
-	format   packet.Format
-	handlers Handlers
+	platform Platform
 	log      *log.Logger
 	metrics  *metrics.Set
 	counters counters
@@ -99,13 +102,11 @@
 func WithLogger(l *log.Logger) Option { return func(a *Agent) { a.log = l } }
 
 // New opens the sockets of an agent.
-func New(cfg Settings, store Store, format packet.Format, handlers Handlers, opts ...Option) (*Agent, error) {
+func New(cfg Settings, p Platform, opts ...Option) (*Agent, error) {
 	now := time.Now()
 	a := &Agent{
 		cfg:      cfg,
-		store:    store,
-		format:   format,
-		handlers: handlers,
+		platform: p,
 		log:      &log.Logger{Level: log.PanicLevel},
 		metrics:  metrics.NewSet(),
 		checks:   make(chan struct{}, 1),
@@ -137,8 +138,8 @@
 		addr netip.AddrPort
 		h    http.Handler
 	}{
-		{a.cfg.Heartbeats, a.handlers.Heartbeats(a)},
-		{a.cfg.Ready, a.handlers.Ready(func() bool { return true })},
+		{a.cfg.Heartbeats, a.platform.Hosts(a)},
+		{a.cfg.Ready, a.platform.Ready(func() bool { return true })},
 		{a.cfg.Ops, mux},
 	} {
 		ln, err := net.Listen("tcp4", s.addr.String())
@@ -173,7 +174,7 @@
 	g.Go(func() error { return a.readHost(running) })
 	g.Go(func() error { return a.inner.Read(running, a) })
 	g.Go(func() error { return a.keepTime(running) })
-	g.Go(func() error { return a.findBalancers(running) })
+	g.Go(func() error { return a.keepRegistered(running) })
 	g.Go(func() error { return a.checkHost(running) })
 	for _, s := range a.servers {
 		g.Go(func() error { return ops.Serve(running, s.ln, s.h) })
@@ -181,7 +182,7 @@
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
-			a.farewell()
+			a.farewell(running)
 		case <-running.Done():
 		}
 		cancel()
@@ -192,13 +193,16 @@
 }
 
 // An agent whose host lives ends at once, since it is missed until it is back.
-func (a *Agent) farewell() {
+func (a *Agent) farewell(ctx context.Context) {
 	a.mu.Lock()
 	_, hosted := a.flows.Host()
 	out := a.members.Farewell(time.Now(), !hosted)
 	a.mu.Unlock()
 	a.sendMessages(out)
 	a.log.Info().Str("event", "stopped").Bool("for_good", !hosted).Msg("")
+	if !hosted {
+		a.forget(ctx)
+	}
 }
 
 // Reads packets of the host.
@@ -221,8 +225,6 @@
 const (
 	checkTimeout = 300 * time.Millisecond // of a connection attempt on the same VM
 	checkEvery   = time.Second
-	seedsAfter   = 2 * time.Second
-	seedsRetry   = 2 * time.Second
 )
 
 // Finds out whether a silent host has ended: a connection that is refused is
@@ -257,28 +259,6 @@
 	return false
 }
 
-// Looks in the store for balancers while none answers.
-func (a *Agent) findBalancers(ctx context.Context) error {
-	sleep(ctx, seedsAfter)
-	for ctx.Err() == nil {
-		a.mu.Lock()
-		lone := a.members.Lone(time.Now())
-		a.mu.Unlock()
-		if lone {
-			found, err := a.store.Balancers(ctx)
-			if err != nil {
-				a.counters.storeErrors.Inc()
-				a.log.Warn().Str("event", "store_list").Err(err).Msg("")
-			}
-			a.mu.Lock()
-			a.members.AddSeeds(found)
-			a.mu.Unlock()
-		}
-		sleep(ctx, seedsRetry)
-	}
-	return nil
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/hostside/forward.go
+++ b/internal/hostside/forward.go
@@ -21,7 +21,7 @@
 
 // Parcel takes a client's packet from a balancer.
 func (a *Agent) Parcel(from netip.AddrPort, h *parcel.Header, content []byte) {
-	p, err := a.format.Parse(content)
+	p, err := a.platform.Format.Parse(content)
 	if err != nil || h.Kind != parcel.Deliver && h.Kind != parcel.Ask {
 		a.counters.forged.Inc()
 		return
@@ -29,13 +29,17 @@
 	now := time.Now()
 	a.mu.Lock()
 	out := a.flows.Deliver(now, from, h, &p, content, nil)
+	suspicious := a.flows.Suspicious(now)
 	a.mu.Unlock()
 	a.act(out)
+	if suspicious {
+		a.wakeCheck()
+	}
 }
 
 // Decides on a datagram of the host; out is room for the actions.
 func (a *Agent) fromHost(raw []byte, out []flowtable.Action) []flowtable.Action {
-	p, err := a.format.Parse(raw)
+	p, err := a.platform.Format.Parse(raw)
 	if err != nil {
 		a.counters.forged.Inc()
 		return out
@@ -45,7 +49,7 @@
 	out = a.flows.Outbound(now, &p, raw, out)
 	a.mu.Unlock()
 	if p.Flags.Has(packet.Bounced) {
-		a.format.Restore(raw)
+		a.platform.Format.Restore(raw)
 	}
 	a.act(out)
 	return out
@@ -65,7 +69,7 @@
 			a.inner.SendParcel(x.Balancer, x.Parcel, x.Packet)
 		case flowtable.Reset:
 			var buf [packet.MaxLen]byte
-			a.send(a.format.AppendReset(buf[:0], x.Flow, x.ClientAck), a.clientAddr(x.Flow))
+			a.send(a.platform.Format.AppendReset(buf[:0], x.Flow, x.ClientAck), a.clientAddr(x.Flow))
 		}
 		if x.Cause != flowtable.Usual {
 			a.logAction(x)
@@ -167,13 +171,13 @@
 // Drives what depends on time.
 func (a *Agent) keepTime(ctx context.Context) error {
 	for ctx.Err() == nil {
-		a.tick(time.Now())
-		sleep(ctx, membership.TickEvery)
+		sleep(ctx, a.tick(time.Now()))
 	}
 	return nil
 }
 
-func (a *Agent) tick(now time.Time) {
+// Does what is due, and returns the time until the next tick.
+func (a *Agent) tick(now time.Time) time.Duration {
 	a.mu.Lock()
 	out := a.flows.Tick(now, nil)
 	messages := a.announce(now)
@@ -181,14 +185,24 @@
 		messages = a.members.Tick(now)
 	}
 	suspicious := a.flows.Suspicious(now)
+	next := membership.TickEvery
+	if a.members.Seeking(now) {
+		next = membership.SeekEvery
+	}
 	a.mu.Unlock()
 	a.act(out)
 	a.sendMessages(messages)
 	if suspicious {
-		select {
-		case a.checks <- struct{}{}:
-		default: // a check is under way
-		}
+		a.wakeCheck()
+	}
+	return next
+}
+
+// Has the host checked, unless a check is under way.
+func (a *Agent) wakeCheck() {
+	select {
+	case a.checks <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -9,11 +9,14 @@
 	"skylarkturn/internal/roster"
 )
 
+// SeekEvery is the interval at which Tick is to be called while Seeking.
+const SeekEvery = 50 * time.Millisecond
+
 const (
-	answerEvery  = 1200 * time.Millisecond // time between answers that an agent asks an observer for
-	listedFor    = 4 * time.Second         // time that an observer is kept without being named or answering
-	loneAfter    = 2 * time.Second         // without an answer, after which seeds are asked again
-	firstSeedsIn = TickEvery
+	answerEvery = 1200 * time.Millisecond // time between answers that an agent asks an observer for
+	listedFor   = 4 * time.Second         // time that an observer is kept without being named or answering
+	loneAfter   = 2 * time.Second         // without an answer, after which seeds are asked again
+	seekFor     = 3 * time.Second         // time after the start that balancers are sought so often
 )
 
 type observer struct {
@@ -58,6 +61,12 @@
 	return now.Sub(last) >= loneAfter
 }
 
+// Seeking reports whether the agent has just started and no balancer has answered
+// yet, so that Tick is to be called more often.
+func (a *Agent) Seeking(now time.Time) bool {
+	return len(a.observers) == 0 && now.Sub(a.started) < seekFor
+}
+
 // Update changes the agent's record and, when that changes what others act on,
 // returns heartbeats that tell so at once.
 func (a *Agent) Update(now time.Time, change func(me *roster.Member)) []Outgoing {
@@ -77,7 +86,10 @@
 	a.observers = slices.DeleteFunc(a.observers, func(o observer) bool { return now.Sub(o.named) > listedFor })
 	interval := beatEvery
 	if len(a.observers) == 0 {
-		interval = firstSeedsIn
+		interval = TickEvery
+	}
+	if a.Seeking(now) {
+		interval = SeekEvery
 	}
 	if now.Sub(a.beaten) < interval {
 		return nil
@@ -111,7 +123,7 @@
 }
 
 func (a *Agent) heartbeat(ask bool) *control.Message {
-	return &control.Message{Kind: control.Heartbeat, From: a.me, Unknown: ask}
+	return &control.Message{Kind: control.Heartbeat, From: a.me, Unknown: ask, Count: len(a.observers)}
 }
 
 // Receive takes a balancer's answer and returns what it gives rise to.
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -16,26 +16,31 @@
 	Message *control.Message
 }
 
-// TickEvery is the interval at which Tick is to be called.
+// TickEvery is the interval at which Tick is to be called in steady state.
 const TickEvery = 200 * time.Millisecond
 
 const (
 	beatEvery         = 400 * time.Millisecond // heartbeats of agents, gossip of balancers
 	membersPerMessage = 6                      // keep a message under control.MaxMessage
+	deltaMessages     = 8                      // messages with news in a tick
 	repairEvery       = time.Second
+	firstRepairEvery  = 100 * time.Millisecond // until all members are known
+	startTick         = 50 * time.Millisecond  // until all members are known
 	bucketsPerRepair  = roster.BucketCount / 4
-	reintroduceEvery  = 2 * time.Second // joins halves that lost each other
-	settleAfter       = 3 * time.Second // agents send several heartbeats in this time
-	maxPeers          = 8               // balancers that gossip goes to at a time
+	reintroduceEvery  = 2 * time.Second        // joins halves that lost each other
+	settleAfter       = 3 * time.Second        // agents send several heartbeats in this time
+	registryAfter     = 500 * time.Millisecond // an agent that could not register has been heard by then
+	expectFor         = 12 * time.Second       // time that agents in the registry are waited for; partitions may last as long
+	maxPeers          = 8                      // balancers that gossip goes to at a time
 )
 
-// Timing judges members by heartbeats every 400 ms: three missed ones make an
+// Timing judges members by heartbeats every 400 ms: two missed ones make an
 // agent suspect.
 var Timing = roster.Timing{
 	QuietAfter:   900 * time.Millisecond,
-	SuspectAfter: 1300 * time.Millisecond,
+	SuspectAfter: 1000 * time.Millisecond,
 	AdoptAfter:   2 * time.Second,
-	GoneAfter:    3 * time.Second,
+	GoneAfter:    800 * time.Millisecond, // other balancers that hear it say so in half of that
 	ForgetAfter:  2 * time.Minute,
 	Observers:    8,
 }
@@ -50,8 +55,11 @@
 	gossiped   time.Time
 	introduced time.Time
 	repaired   time.Time
-	heardPeer  time.Time // last message of another balancer
 	newest     Version
+	expected   map[netip.AddrPort]bool // agents of the registry that have not been heard
+	told       bool                    // whether the registry has been read
+	settled    bool
+	peers      peerViews
 }
 
 // Version is a configuration version that a peer has in force.
@@ -84,19 +92,61 @@
 // Alone reports whether no other balancer is known to be live.
 func (b *Balancer) Alone() bool { return len(b.members.Peers(b.me.Addr, 1)) == 0 }
 
-// Settled reports whether the members known are likely all there are.
-func (b *Balancer) Settled(now time.Time) bool { return now.Sub(b.started) >= settleAfter }
+// Expect takes the agents that the registry lists.
+func (b *Balancer) Expect(agents []netip.AddrPort) {
+	b.told = true
+	b.expected = make(map[netip.AddrPort]bool)
+	for _, a := range agents {
+		b.expected[a] = true
+	}
+}
+
+// peerViews notes what other balancers have said of their own views.
+type peerViews struct {
+	unsettled bool // one does not know all members
+	settled   bool // one knows all members
+}
+
+// Settled reports whether the members known are all there are. A balancer that
+// is settled and knows the same members says so for certain. After a loss of
+// all power there is none; then every agent of the registry must have been heard
+// of. Without a registry, time has to do.
+func (b *Balancer) Settled(now time.Time) bool {
+	if b.settled {
+		return true
+	}
+	for a := range b.expected {
+		if _, known := b.members.Get(a); known {
+			delete(b.expected, a)
+		}
+	}
+	age := now.Sub(b.started)
+	switch {
+	case b.told && len(b.expected) == 0:
+		b.settled = age >= registryAfter || b.peers.unsettled && !b.peers.settled
+	case b.told:
+		b.settled = age >= expectFor
+	default:
+		b.settled = age >= settleAfter
+	}
+	return b.settled
+}
 
 // Tick returns the messages that are due.
 func (b *Balancer) Tick(now time.Time) []Outgoing {
 	b.members.Tick(now, b.me.Addr)
-	deltas := b.members.Deltas(membersPerMessage)
-	due := now.Sub(b.gossiped) >= beatEvery
-	if len(deltas) == 0 && !due {
-		return nil
+	var out []Outgoing
+	for range deltaMessages {
+		deltas := b.members.Deltas(membersPerMessage)
+		if len(deltas) == 0 {
+			break
+		}
+		out = append(out, b.Gossip(now, deltas)...)
+	}
+	if now.Sub(b.gossiped) >= beatEvery {
+		b.gossiped = now
+		out = append(out, b.Gossip(now, nil)...)
 	}
-	b.gossiped = now
-	out := b.Gossip(now, deltas)
 	if b.Alone() || now.Sub(b.introduced) >= reintroduceEvery {
 		b.introduced = now
 		out = append(out, b.introductions()...)
@@ -124,7 +174,7 @@
 }
 
 func (b *Balancer) message(kind control.Kind, members []roster.Member) *control.Message {
-	return &control.Message{Kind: kind, From: b.me, Members: members, Digest: b.members.Digest(), Version: b.version}
+	return &control.Message{Kind: kind, From: b.me, Members: members, Digest: b.members.Digest(), Version: b.version, Settled: b.settled}
 }
 
 // Receive takes a message and returns the answers.
@@ -151,21 +201,21 @@
 func (b *Balancer) heartbeat(now time.Time, m *control.Message) []Outgoing {
 	b.members.Heard(now, m.From)
 	known, _ := b.members.Get(m.From.Addr)
+	observers := b.members.Observers(m.From.Service, Timing.Observers)
 	current := known.Incarnation == m.From.Incarnation && known.State == m.From.State
-	if current && !m.Unknown {
+	if current && !m.Unknown && m.Count == len(observers) {
 		return nil
 	}
 	ack := b.message(control.Ack, nil)
 	ack.Believed = known.State
 	ack.Known = known.Incarnation
-	for _, o := range b.members.Observers(m.From.Service, Timing.Observers) {
+	for _, o := range observers {
 		ack.Observers = append(ack.Observers, o.Addr)
 	}
 	return []Outgoing{{m.From.Addr, ack}}
 }
 
 func (b *Balancer) receiveGossip(now time.Time, m *control.Message) (out []Outgoing) {
-	b.heardPeer = now
 	b.members.Heard(now, m.From)
 	for _, r := range m.Members {
 		b.learn(now, r)
@@ -173,7 +223,8 @@
 	if known, _ := b.members.Get(m.From.Addr); !roster.Live(&known) || known.Incarnation != m.From.Incarnation {
 		return append(out, Outgoing{m.From.Addr, b.message(control.Gossip, []roster.Member{known})})
 	}
-	if len(m.Members) == 0 && m.Digest != b.members.Digest() && now.Sub(b.repaired) >= repairEvery {
+	b.hearView(m)
+	if len(m.Members) == 0 && m.Digest != b.members.Digest() && now.Sub(b.repaired) >= b.repairInterval() {
 		b.repaired = now
 		repair := b.message(control.Repair, nil)
 		repair.Buckets = b.members.Buckets()
@@ -182,6 +233,32 @@
 	return out
 }
 
+func (b *Balancer) hearView(m *control.Message) {
+	if !m.Settled {
+		b.peers.unsettled = true
+		return
+	}
+	b.peers.settled = true
+	if m.Digest == b.members.Digest() {
+		b.settled = true
+	}
+}
+
+func (b *Balancer) repairInterval() time.Duration {
+	if b.settled {
+		return repairEvery
+	}
+	return firstRepairEvery
+}
+
+// TickAfter returns the time until Tick is to be called again.
+func (b *Balancer) TickAfter(now time.Time) time.Duration {
+	if b.settled || now.Sub(b.started) > settleAfter {
+		return TickEvery
+	}
+	return startTick
+}
+
 // Sends the records of the buckets that differ from the asker's.
 func (b *Balancer) push(m *control.Message) (out []Outgoing) {
 	var records []roster.Member
--- a/internal/steering/lookup.go
+++ b/internal/steering/lookup.go
@@ -11,23 +11,22 @@
 
 // Looks for the owner of a flow: the targets that rank highest for the flow are
 // asked first, then all others.
-func (t *Table) find(now time.Time, k packet.Key, f *flow, clientAck uint32, raw []byte, out []Action) []Action {
+func (t *Table) find(now time.Time, k packet.Key, f *flow, raw []byte, out []Action) []Action {
 	l := f.lookup
 	if l != nil {
-		l.ack = clientAck
 		l.hold(raw)
-		if now.Sub(l.asked) >= askAgain {
+		if now.Sub(l.asked) >= askAgain && len(l.waiting) > 0 {
 			return t.ask(now, k, f, l.waiting, out)
 		}
 		return append(out, Action{Verb: Drop, Cause: Waiting, Flow: k})
 	}
-	if len(t.targets) == 0 || len(t.lookups) >= maxLookups {
+	if len(t.pending) >= maxPending {
 		return append(out, Action{Verb: Drop, Cause: Unsettled, Flow: k})
 	}
-	l = &lookup{ack: clientAck, started: now}
+	l = &lookup{started: now}
 	l.hold(raw)
 	f.lookup = l
-	t.lookups[k] = f
+	t.pending[k] = f
 	l.waiting = t.likely(k)
 	if len(l.waiting) == 0 {
 		return t.askRest(now, k, f, out)
@@ -105,31 +104,25 @@
 	l := f.lookup
 	l.waiting = slices.DeleteFunc(l.waiting, func(a netip.AddrPort) bool { return t.targets[a] == nil })
 	switch {
-	case len(l.waiting) == 0 || l.waves == 1 && now.Sub(l.asked) >= waveAfter:
-		return t.askRest(now, k, f, out)
-	case l.waves >= silentWaves && now.Sub(l.asked) >= askAgain && t.allSilent(l.waiting):
-		return t.conclude(now, k, f, out)
 	case now.Sub(l.started) >= lookupFor:
 		f.lookup = nil
-		delete(t.lookups, k)
+		delete(t.pending, k)
+	case len(l.waiting) == 0 || l.waves == 1 && now.Sub(l.asked) >= waveAfter:
+		return t.askRest(now, k, f, out)
 	case now.Sub(l.asked) >= askAgain:
 		return t.ask(now, k, f, l.waiting, out)
 	}
 	return out
 }
 
-func (t *Table) allSilent(agents []netip.AddrPort) bool {
-	return !slices.ContainsFunc(agents, func(a netip.AddrPort) bool { return !t.targets[a].Silent })
-}
-
-// Ends a lookup in which no agent held the flow.
+// Ends a lookup in which no agent held the flow. Until all members are known it
+// stays open, since the owner may be one of those that are not.
 func (t *Table) conclude(now time.Time, k packet.Key, f *flow, out []Action) []Action {
-	l := f.lookup
-	f.lookup = nil
-	delete(t.lookups, k)
 	if !t.settled || len(t.targets) == 0 {
-		return append(out, Action{Verb: Drop, Cause: Unsettled, Flow: k})
+		return out
 	}
+	f.lookup = nil
+	delete(t.pending, k)
 	f.lost = now
-	return append(out, Action{Verb: Reset, Cause: Lost, Flow: k, ClientAck: l.ack})
+	return append(out, Action{Verb: Reset, Cause: Lost, Flow: k, ClientAck: f.ack})
 }
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -14,13 +14,13 @@
 	maxFlows     = 1 << 17          // remembered owners; some 20 MB at the most
 	flowIdle     = 30 * time.Second // after which an owner is forgotten; asking finds it again
 	maxHeld      = 8                // packets of one flow held while its owner is looked up
-	maxLookups   = 4096             // flows looked up at a time
+	maxPending   = 4096             // flows that wait for their owner or for a target
 	maxAsked     = 64               // agents asked for the owner of one flow
 	waveAfter    = 60 * time.Millisecond
-	askAgain     = 180 * time.Millisecond // shorter than a client's first retransmission
-	lookupFor    = 4 * time.Second        // after which a lookup without result is given up
-	lostFor      = 2 * time.Second        // time that later packets of a lost flow are answered by resets
-	silentWaves  = 3                      // questions that a silent agent must leave open to count as gone
+	askAgain     = 180 * time.Millisecond  // shorter than a client's first retransmission
+	lookupFor    = 4 * time.Second         // after which a lookup without result is given up
+	openingFor   = 1400 * time.Millisecond // after which a client gives up opening a flow
+	lostFor      = 2 * time.Second         // time that later packets of a lost flow are answered by resets
 	sweepPerTick = 2048
 )
 
@@ -48,11 +48,12 @@
 	NoTarget                     // no target takes the new flow
 	AllRefused                   // every target has refused the new flow
 	Lost                         // no agent holds the flow
+	OwnerGone                    // the flow's owner has ended
 	Unsettled                    // too little is known of the members to decide
 	Waiting                      // the owner is being looked up
 )
 
-var causeNames = [...]string{"unknown", "known", "placed", "placed_again", "looked_up", "found", "no_route", "no_target", "all_refused", "lost", "unsettled", "waiting"}
+var causeNames = [...]string{"unknown", "known", "placed", "placed_again", "looked_up", "found", "no_route", "no_target", "all_refused", "lost", "owner_gone", "unsettled", "waiting"}
 
 // Causes is the number of causes, for tables indexed by them.
 const Causes = len(causeNames)
@@ -80,18 +81,26 @@
 type flow struct {
 	owner  netip.AddrPort // not valid while unknown
 	owned  bool           // the owner has confirmed it
+	opened bool           // the client has sent more than the opening packet
 	copies uint32         // number of the newest copy of the opening packet
 	tried  []netip.AddrPort
 	used   time.Time
+	ack    uint32    // the client's newest acknowledgement number
 	lost   time.Time // when no agent held it
 	lookup *lookup
+	parked *parked
+}
+
+// parked is the packet that opens a flow, until there is a target for it.
+type parked struct {
+	raw   []byte
+	since time.Time
 }
 
 type lookup struct {
 	waiting []netip.AddrPort // agents that have not answered
 	refused []netip.AddrPort // agents that do not hold the flow
 	held    [][]byte         // packets, the oldest first
-	ack     uint32           // the client's newest acknowledgement number
 	waves   int
 	started time.Time
 	asked   time.Time // when the last wave was sent
@@ -104,7 +113,7 @@
 	targets   map[netip.AddrPort]*target
 	services  map[string][]*target // in order of agents
 	flows     map[packet.Key]*flow
-	lookups   map[packet.Key]*flow
+	pending   map[packet.Key]*flow // with a lookup or a parked packet
 	settled   bool
 	evictions uint64
 }
@@ -115,7 +124,7 @@
 		targets:  make(map[netip.AddrPort]*target),
 		services: make(map[string][]*target),
 		flows:    make(map[packet.Key]*flow),
-		lookups:  make(map[packet.Key]*flow),
+		pending:  make(map[packet.Key]*flow),
 	}
 }
 
@@ -136,8 +145,8 @@
 // TargetCount returns the number of targets known.
 func (t *Table) TargetCount() int { return len(t.targets) }
 
-// Lookups returns the number of flows whose owners are being looked up.
-func (t *Table) Lookups() int { return len(t.lookups) }
+// Pending returns the number of flows that wait for their owner or for a target.
+func (t *Table) Pending() int { return len(t.pending) }
 
 // Evictions returns how many flows were forgotten for want of room.
 func (t *Table) Evictions() uint64 { return t.evictions }
@@ -166,12 +175,25 @@
 	return before != n
 }
 
-// Remove forgets a target that has ended; its flows are looked up again.
-func (t *Table) Remove(agent netip.AddrPort) {
-	if old := t.targets[agent]; old != nil {
-		t.unlist(old)
-		delete(t.targets, agent)
+// Remove forgets a target that has ended and resets the flows that it owned, so
+// that clients need not find out by waiting.
+func (t *Table) Remove(now time.Time, agent netip.AddrPort, out []Action) []Action {
+	old := t.targets[agent]
+	if old == nil {
+		return out
+	}
+	t.unlist(old)
+	delete(t.targets, agent)
+	if !t.settled {
+		return out
 	}
+	for k, f := range t.flows {
+		if f.owner == agent && f.opened {
+			f.lost = now
+			out = append(out, Action{Verb: Reset, Cause: OwnerGone, Flow: k, Agent: agent, ClientAck: f.ack})
+		}
+	}
+	return out
 }
 
 // Targets calls f for each target.
@@ -201,33 +223,37 @@
 	if h.Opens() {
 		return t.opening(now, k, f, h, raw, out)
 	}
+	if f != nil {
+		f.opened, f.ack, f.parked = true, h.Ack, nil
+	}
 	if f != nil && f.owner.IsValid() && t.targets[f.owner] != nil {
 		return append(out, Action{Verb: Send, Cause: Known, Flow: k, Agent: f.owner, Kind: parcel.Deliver, Packet: raw})
 	}
 	if f != nil && now.Sub(f.lost) < lostFor {
 		return append(out, Action{Verb: Reset, Cause: Lost, Flow: k, ClientAck: h.Ack})
 	}
-	if f == nil && t.routes.Lookup(k.Route) == nil {
+	if f == nil && t.routes != nil && t.routes.Lookup(k.Route) == nil {
 		return append(out, Action{Verb: Drop, Cause: NoRoute, Flow: k})
 	}
 	if f == nil {
 		f = t.remember(now, k)
+		f.opened, f.ack = true, h.Ack
 	}
 	f.owner, f.owned = netip.AddrPort{}, false
-	return t.find(now, k, f, h.Ack, raw, out)
+	return t.find(now, k, f, raw, out)
 }
 
 // Decides on a packet that opens a flow.
 func (t *Table) opening(now time.Time, k packet.Key, f *flow, h *packet.Head, raw []byte, out []Action) []Action {
-	if t.routes.Lookup(k.Route) == nil {
-		if t.routes == nil {
-			return append(out, Action{Verb: Drop, Cause: Unsettled, Flow: k})
-		}
+	if t.routes != nil && t.routes.Lookup(k.Route) == nil {
 		return append(out, Action{Verb: Reset, Cause: NoRoute, Flow: k, ClientAck: h.Ack})
 	}
 	if f == nil {
 		f = t.remember(now, k)
-		return t.place(k, f, h.Ack, raw, out)
+		return t.place(now, k, f, h.Ack, raw, out)
+	}
+	if f.parked != nil {
+		return append(out, Action{Verb: Drop, Cause: Waiting, Flow: k})
 	}
 	later := h.Ack > f.copies
 	f.copies = max(f.copies, h.Ack)
@@ -241,12 +267,15 @@
 	case f.owner.IsValid():
 		f.tried = append(f.tried, f.owner)
 	}
-	return t.place(k, f, h.Ack, raw, out)
+	return t.place(now, k, f, h.Ack, raw, out)
 }
 
 // Places a new flow on a target that has not been tried.
-func (t *Table) place(k packet.Key, f *flow, clientAck uint32, raw []byte, out []Action) []Action {
+func (t *Table) place(now time.Time, k packet.Key, f *flow, clientAck uint32, raw []byte, out []Action) []Action {
 	f.owner, f.owned = netip.AddrPort{}, false
+	if t.routes == nil {
+		return append(out, t.park(now, k, f, raw))
+	}
 	hash := k.Hash()
 	service, ok := t.routes.Lookup(k.Route).Service(hash)
 	if !ok {
@@ -255,7 +284,7 @@
 	ranked := rank(hash, t.services[service], func(n *target) bool { return n.open() && !contains(f.tried, n.Agent) })
 	best := ranked.lightest()
 	if best == nil {
-		return append(out, t.unplaced(k, f, clientAck))
+		return append(out, t.unplaced(now, k, f, clientAck, raw))
 	}
 	f.owner = best.Agent
 	best.placed++
@@ -266,7 +295,7 @@
 	return append(out, Action{Verb: Send, Cause: cause, Flow: k, Agent: best.Agent, Kind: parcel.Deliver, Service: service, Packet: raw})
 }
 
-func (t *Table) unplaced(k packet.Key, f *flow, clientAck uint32) Action {
+func (t *Table) unplaced(now time.Time, k packet.Key, f *flow, clientAck uint32, raw []byte) Action {
 	switch {
 	case len(f.tried) > 0:
 		f.tried = f.tried[:0] // a later copy may try them again
@@ -274,9 +303,38 @@
 	case t.settled:
 		return Action{Verb: Reset, Cause: NoTarget, Flow: k, ClientAck: clientAck}
 	}
+	return t.park(now, k, f, raw)
+}
+
+// Keeps the packet that opens a flow until more is known of routes and targets.
+func (t *Table) park(now time.Time, k packet.Key, f *flow, raw []byte) Action {
+	if f.parked == nil && len(t.pending) < maxPending {
+		f.parked = &parked{slices.Clone(raw), now}
+		t.pending[k] = f
+	}
 	return Action{Verb: Drop, Cause: Unsettled, Flow: k}
 }
 
+// Tries again to place a flow whose opening packet is parked.
+func (t *Table) unpark(now time.Time, k packet.Key, f *flow, out []Action) []Action {
+	p := f.parked
+	f.parked = nil
+	delete(t.pending, k)
+	if now.Sub(p.since) >= openingFor {
+		return out
+	}
+	if t.routes != nil && t.routes.Lookup(k.Route) == nil {
+		return append(out, Action{Verb: Reset, Cause: NoRoute, Flow: k})
+	}
+	before := len(out)
+	out = t.place(now, k, f, f.copies, p.raw, out)
+	if f.parked != nil {
+		f.parked.since = p.since
+		return out[:before] // nothing new to tell
+	}
+	return out
+}
+
 // Answer decides on an agent's answer; raw is the packet that came with it.
 func (t *Table) Answer(now time.Time, from netip.AddrPort, h *parcel.Header, p *packet.Head, raw []byte, out []Action) []Action {
 	if h.Kind == parcel.Owned {
@@ -287,7 +345,7 @@
 		return out
 	}
 	if p != nil && p.Opens() {
-		return t.refusedOpening(from, h, f, p, raw, out)
+		return t.refusedOpening(now, from, h, f, p, raw, out)
 	}
 	if f.lookup != nil {
 		return t.refusedLookup(now, from, h.Flow, f, out)
@@ -296,7 +354,7 @@
 		return out
 	}
 	f.owner, f.owned = netip.AddrPort{}, false
-	out = t.find(now, h.Flow, f, p.Ack, raw, out)
+	out = t.find(now, h.Flow, f, raw, out)
 	return t.refusedLookup(now, from, h.Flow, f, out)
 }
 
@@ -311,14 +369,14 @@
 		return out
 	}
 	f.lookup = nil
-	delete(t.lookups, k)
+	delete(t.pending, k)
 	for _, raw := range l.held[min(1, len(l.held)):] { // the question carried the first
 		out = append(out, Action{Verb: Send, Cause: Found, Flow: k, Agent: from, Kind: parcel.Deliver, Packet: raw})
 	}
 	return out
 }
 
-func (t *Table) refusedOpening(from netip.AddrPort, h *parcel.Header, f *flow, p *packet.Head, raw []byte, out []Action) []Action {
+func (t *Table) refusedOpening(now time.Time, from netip.AddrPort, h *parcel.Header, f *flow, p *packet.Head, raw []byte, out []Action) []Action {
 	if n := t.targets[from]; n != nil && h.Reason != parcel.Full {
 		n.refusing = true
 	}
@@ -326,14 +384,19 @@
 		return out
 	}
 	f.tried = append(f.tried, from)
-	return t.place(h.Flow, f, p.Ack, raw, out)
+	return t.place(now, h.Flow, f, p.Ack, raw, out)
 }
 
 // Tick continues lookups that wait for answers and forgets flows that are not
 // used.
 func (t *Table) Tick(now time.Time, out []Action) []Action {
-	for k, f := range t.lookups {
-		out = t.continueLookup(now, k, f, out)
+	for k, f := range t.pending {
+		if f.parked != nil {
+			out = t.unpark(now, k, f, out)
+		}
+		if f.lookup != nil {
+			out = t.continueLookup(now, k, f, out)
+		}
 	}
 	n := 0
 	for k, f := range t.flows {
@@ -362,5 +425,5 @@
 
 func (t *Table) forget(k packet.Key) {
 	delete(t.flows, k)
-	delete(t.lookups, k)
+	delete(t.pending, k)
 }
