Test the decisions of the platform path by scripts in data files

Patterns named after the loads and failures they answer: copies of opening packets, lost power, restarted agents and hosts, late heartbeats, clocks set back, partial cuts. Found and mended on the way: a lookup asked again the agent that had just refused; its second wave lost a turn when nobody was left to ask.

--- /dev/null
+++ b/internal/membership/script_test.go
@@ -0,0 +1,251 @@
+package membership
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-quicktest/qt"
+
+	"skylarkturn/internal/control"
+	"skylarkturn/internal/roster"
+	"skylarkturn/internal/script"
+)
+
+// Scripts name balancers b1, b2 and so on and agents a1, a2 and so on. Messages
+// arrive after a millisecond unless a cut stops them; each passes the codec.
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata/*.txt", func(t *testing.T) func(script.Command) []string {
+		return newNetwork(t).do
+	})
+}
+
+const (
+	step        = time.Millisecond
+	tickOfAgent = SeekEvery
+)
+
+type network struct {
+	t         *testing.T
+	now       time.Time
+	codec     *control.Codec
+	balancers map[string]*Balancer
+	agents    map[string]*Agent
+	ticks     map[string]time.Time
+	inFlight  []Outgoing
+	from      []string
+	cuts      map[string]bool // pairs of names, both ways
+	bytes     int
+}
+
+func newNetwork(t *testing.T) *network {
+	codec, err := control.NewCodec([]byte("sixteen bytes or more"))
+	qt.Assert(t, qt.IsNil(err))
+	return &network{
+		t: t, now: time.Unix(1_800_000_000, 0), codec: codec,
+		balancers: make(map[string]*Balancer), agents: make(map[string]*Agent),
+		ticks: make(map[string]time.Time), cuts: make(map[string]bool),
+	}
+}
+
+func addrOf(t testing.TB, name string) netip.AddrPort {
+	n, err := strconv.ParseUint(name[1:], 10, 8)
+	qt.Assert(t, qt.IsNil(err))
+	role := byte(1)
+	if name[0] == 'a' {
+		role = 2
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, role, 0, byte(n)}), 7400)
+}
+
+func nameOf(a netip.AddrPort) string {
+	a4 := a.Addr().As4()
+	return fmt.Sprintf("%c%d", " ba"[a4[1]], a4[3])
+}
+
+func (n *network) addrs(list string) (addrs []netip.AddrPort) {
+	for name := range strings.SplitSeq(list, ",") {
+		if name != "" {
+			addrs = append(addrs, addrOf(n.t, name))
+		}
+	}
+	return addrs
+}
+
+func (n *network) do(c script.Command) []string {
+	switch c.Name {
+	case "start":
+		n.start(c)
+	case "kill":
+		delete(n.balancers, c.Arg(0))
+		delete(n.agents, c.Arg(0))
+	case "leave":
+		n.leave(c.Arg(0), c.Has("for-good"))
+	case "run":
+		n.run(c.Duration(n.t, 0))
+	case "cut":
+		n.cuts[pair(c.Arg(0), c.Arg(1))] = true
+	case "heal":
+		clear(n.cuts)
+	case "expect":
+		n.balancers[c.Arg(0)].Expect(n.addrs(c.Opts["agents"]))
+	case "host":
+		n.host(c)
+	case "version":
+		v, err := strconv.ParseUint(c.Arg(1), 10, 64)
+		qt.Assert(n.t, qt.IsNil(err))
+		n.balancers[c.Arg(0)].SetVersion(v)
+	case "newest":
+		newest := n.balancers[c.Arg(0)].Newest()
+		return []string{fmt.Sprintf("%d from %s", newest.Number, nameOf(newest.From))}
+	case "settled":
+		return []string{fmt.Sprint(n.balancers[c.Arg(0)].Settled(n.now))}
+	case "members":
+		return []string{n.members(c.Arg(0))}
+	case "observers":
+		return []string{n.observers(c.Arg(0))}
+	default:
+		return script.Unknown(n.t, c)
+	}
+	return nil
+}
+
+// start b1 seeds=b2,b3 [clock=-2s]
+func (n *network) start(c script.Command) {
+	name := c.Arg(0)
+	clock := n.now
+	if v, ok := c.Opts["clock"]; ok {
+		d, err := time.ParseDuration(v)
+		qt.Assert(n.t, qt.IsNil(err))
+		clock = clock.Add(d)
+	}
+	me := roster.Member{Name: name, Zone: "az" + name[1:], Addr: addrOf(n.t, name), Incarnation: uint64(clock.UnixNano())}
+	seeds := n.addrs(c.Opts["seeds"])
+	if name[0] == 'b' {
+		n.balancers[name] = NewBalancer(n.now, me, seeds, rand.New(rand.NewPCG(1, uint64(me.Addr.Addr().As4()[3]))))
+		return
+	}
+	n.agents[name] = NewAgent(n.now, me, seeds)
+}
+
+func (n *network) leave(name string, forGood bool) {
+	if a := n.agents[name]; a != nil {
+		n.send(name, a.Farewell(n.now, forGood))
+	} else {
+		n.send(name, n.balancers[name].Farewell(n.now))
+	}
+	delete(n.balancers, name)
+	delete(n.agents, name)
+}
+
+// host a1 ready|draining SERVICE
+func (n *network) host(c script.Command) {
+	n.send(c.Arg(0), n.agents[c.Arg(0)].Update(n.now, func(me *roster.Member) {
+		me.State, me.Serves, me.Slots, me.Warmth = roster.Ready, c.Arg(2), 4, 100
+		if c.Arg(1) == "draining" {
+			me.State = roster.Draining
+		}
+	}))
+}
+
+func pair(a, b string) string {
+	if a > b {
+		a, b = b, a
+	}
+	return a + " " + b
+}
+
+func (n *network) send(from string, out []Outgoing) {
+	for _, o := range out {
+		if !n.cuts[pair(from, nameOf(o.To))] {
+			n.inFlight = append(n.inFlight, o)
+		}
+	}
+}
+
+func (n *network) run(d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(step) {
+		arriving := n.inFlight
+		n.inFlight = nil
+		for _, o := range arriving {
+			n.deliver(o)
+		}
+		for _, name := range slices.Sorted(maps.Keys(n.balancers)) {
+			if b := n.balancers[name]; !n.now.Before(n.ticks[name]) {
+				n.send(name, b.Tick(n.now))
+				b.Settled(n.now)
+				n.ticks[name] = n.now.Add(b.TickAfter(n.now))
+			}
+		}
+		for _, name := range slices.Sorted(maps.Keys(n.agents)) {
+			if !n.now.Before(n.ticks[name]) {
+				n.send(name, n.agents[name].Tick(n.now))
+				n.ticks[name] = n.now.Add(tickOfAgent)
+			}
+		}
+	}
+}
+
+func (n *network) deliver(o Outgoing) {
+	sealed, err := n.codec.Seal(o.Message)
+	qt.Assert(n.t, qt.IsNil(err))
+	qt.Check(n.t, qt.IsTrue(len(sealed) <= control.MaxMessage), qt.Commentf("%d bytes", len(sealed)))
+	n.bytes += len(sealed)
+	m, err := n.codec.Open(sealed)
+	qt.Assert(n.t, qt.IsNil(err))
+	name := nameOf(o.To)
+	if b := n.balancers[name]; b != nil {
+		n.send(name, b.Receive(n.now, m))
+	}
+	if a := n.agents[name]; a != nil {
+		n.send(name, a.Receive(n.now, m))
+	}
+}
+
+func (n *network) members(name string) string {
+	var shown []string
+	for _, m := range n.balancers[name].Members().Members(func(*roster.Member) bool { return true }) {
+		shown = append(shown, fmt.Sprintf("%s=%s", nameOf(m.Addr), m.State))
+	}
+	return strings.Join(shown, " ")
+}
+
+func (n *network) observers(name string) string {
+	var shown []string
+	for _, o := range n.agents[name].observers {
+		shown = append(shown, nameOf(o.addr))
+	}
+	slices.Sort(shown)
+	return strings.Join(shown, " ")
+}
+
+// The control traffic of a daemon is bounded when nothing changes.
+func TestQuietFleetKeepsToItsBudget(t *testing.T) {
+	const (
+		budget    = 2000 // bytes a second for each daemon, of the size to design for
+		balancers = 4
+		agents    = 11
+		seconds   = 20
+	)
+	n := newNetwork(t)
+	for i := range balancers {
+		n.do(script.Command{Name: "start", Args: []string{fmt.Sprint("b", i+1)}, Opts: map[string]string{"seeds": "b1,b2,b3"}})
+	}
+	for i := range agents {
+		name := fmt.Sprint("a", i+1)
+		n.do(script.Command{Name: "start", Args: []string{name}, Opts: map[string]string{"seeds": "b1,b2,b3"}})
+		n.do(script.Command{Name: "host", Args: []string{name, "ready", "bookdesk"}})
+	}
+	n.run(5 * time.Second)
+	n.bytes = 0
+	n.run(seconds * time.Second)
+	sent := n.bytes / seconds / (balancers + agents)
+	t.Logf("%d bytes a second sent by each daemon", sent)
+	qt.Check(t, qt.IsTrue(sent <= budget))
+}
--- /dev/null
+++ b/internal/parcel/parcel_test.go
@@ -0,0 +1,53 @@
+package parcel
+
+import (
+	"testing"
+
+	"github.com/go-quicktest/qt"
+
+	"skylarkturn/internal/packet"
+)
+
+var header = Header{
+	Kind: Refused, Reason: Draining, Service: ServiceIDOf("bookdesk"),
+	Flow: packet.Key{Client: packet.Endpoint{IP: 1, Port: 2}, Route: packet.Endpoint{IP: 3, Port: 4}},
+}
+
+func TestDecodeGivesWhatWasAppended(t *testing.T) {
+	b := Append(nil, header, []byte("packet"))
+	got, content, err := Decode(b)
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.Equals(got, header))
+	qt.Check(t, qt.Equals(string(content), "packet"))
+}
+
+func TestDecodeRefuses(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(b []byte) []byte
+	}{
+		{"short", func(b []byte) []byte { return b[:HeaderLen-1] }},
+		{"another magic", func(b []byte) []byte { b[0]++; return b }},
+		{"unknown kind", func(b []byte) []byte { b[1] = 99; return b }},
+		{"no kind", func(b []byte) []byte { b[1] = 0; return b }},
+		{"unknown reason", func(b []byte) []byte { b[2] = 99; return b }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, _, err := Decode(c.change(Append(nil, header, nil)))
+			qt.Check(t, qt.IsNotNil(err))
+		})
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Append(nil, header, []byte("packet")))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		h, content, err := Decode(b)
+		if err != nil {
+			return
+		}
+		if string(Append(nil, h, content)) != string(b) {
+			t.Fatalf("%x is not what %+v encodes to", b, h)
+		}
+	})
+}
--- a/internal/steering/lookup.go
+++ b/internal/steering/lookup.go
@@ -10,8 +10,9 @@
 )
 
 // Looks for the owner of a flow: the targets that rank highest for the flow are
-// asked first, then all others.
-func (t *Table) find(now time.Time, k packet.Key, f *flow, raw []byte, out []Action) []Action {
+// asked first, then all others. Agents that are known not to hold it are left
+// out.
+func (t *Table) find(now time.Time, k packet.Key, f *flow, raw []byte, out []Action, refused ...netip.AddrPort) []Action {
 	l := f.lookup
 	if l != nil {
 		l.hold(raw)
@@ -23,11 +24,11 @@
 	if len(t.pending) >= maxPending {
 		return append(out, Action{Verb: Drop, Cause: Unsettled, Flow: k})
 	}
-	l = &lookup{started: now}
+	l = &lookup{started: now, refused: refused}
 	l.hold(raw)
 	f.lookup = l
 	t.pending[k] = f
-	l.waiting = t.likely(k)
+	l.waiting = slices.DeleteFunc(t.likely(k), func(a netip.AddrPort) bool { return contains(refused, a) })
 	if len(l.waiting) == 0 {
 		return t.askRest(now, k, f, out)
 	}
@@ -58,7 +59,6 @@
 func (t *Table) ask(now time.Time, k packet.Key, f *flow, agents []netip.AddrPort, out []Action) []Action {
 	l := f.lookup
 	l.asked = now
-	l.waves++
 	for _, a := range agents {
 		out = append(out, Action{Verb: Send, Cause: LookedUp, Flow: k, Agent: a, Kind: parcel.Ask, Packet: l.held[0]})
 	}
@@ -79,9 +79,13 @@
 		}
 	}
 	slices.SortFunc(rest, netip.AddrPort.Compare)
+	l.wide = true
 	l.waiting = append(l.waiting, rest...)
-	if len(l.waiting) == 0 {
+	switch {
+	case len(l.waiting) == 0:
 		return t.conclude(now, k, f, out)
+	case len(rest) == 0:
+		return out
 	}
 	return t.ask(now, k, f, rest, out)
 }
@@ -107,7 +111,9 @@
 	case now.Sub(l.started) >= lookupFor:
 		f.lookup = nil
 		delete(t.pending, k)
-	case len(l.waiting) == 0 || l.waves == 1 && now.Sub(l.asked) >= waveAfter:
+	case len(l.waiting) == 0:
+		return t.askRest(now, k, f, out)
+	case !l.wide && now.Sub(l.asked) >= waveAfter:
 		return t.askRest(now, k, f, out)
 	case now.Sub(l.asked) >= askAgain:
 		return t.ask(now, k, f, l.waiting, out)
--- /dev/null
+++ b/internal/steering/script_test.go
@@ -0,0 +1,180 @@
+package steering
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-quicktest/qt"
+
+	"skylarkturn/internal/packet"
+	"skylarkturn/internal/parcel"
+	"skylarkturn/internal/route"
+	"skylarkturn/internal/script"
+)
+
+// Scripts name agents a1, a2 and so on, clients c1, c2 and so on, and routes r1,
+// r2 and so on; a flow is written c1, or c1@r2 for another route than r1.
+func TestScripts(t *testing.T) {
+	script.Run(t, "testdata/*.txt", func(t *testing.T) func(script.Command) []string {
+		r := &runner{t: t, table: New(), now: time.Unix(1_800_000_000, 0)}
+		return r.do
+	})
+}
+
+type runner struct {
+	t     *testing.T
+	table *Table
+	now   time.Time
+}
+
+var agentNet = netip.MustParseAddr("10.0.0.0").As4()
+
+func number(t testing.TB, name string) uint16 {
+	n, err := strconv.ParseUint(name[1:], 10, 16)
+	qt.Assert(t, qt.IsNil(err))
+	return uint16(n)
+}
+
+func (r *runner) agent(name string) netip.AddrPort {
+	a4 := agentNet
+	a4[3] = byte(number(r.t, name))
+	return netip.AddrPortFrom(netip.AddrFrom4(a4), 7400)
+}
+
+func agentName(a netip.AddrPort) string { return fmt.Sprint("a", a.Addr().As4()[3]) }
+
+func (r *runner) listen(name string) packet.Endpoint {
+	return packet.Endpoint{IP: 0xc6120001, Port: 1000 + number(r.t, name)}
+}
+
+func (r *runner) key(flow string) packet.Key {
+	client, route, ok := strings.Cut(flow, "@")
+	if !ok {
+		route = "r1"
+	}
+	return packet.Key{Client: packet.Endpoint{IP: 0x64400000 + uint32(number(r.t, client)), Port: 40000}, Route: r.listen(route)}
+}
+
+func (r *runner) do(c script.Command) []string {
+	switch c.Name {
+	case "wait":
+		r.now = r.now.Add(c.Duration(r.t, 0))
+		return nil
+	case "settled":
+		r.table.SetSettled(true)
+		return nil
+	case "routes":
+		r.setRoutes(c)
+		return nil
+	case "target":
+		r.table.Put(r.target(c), !c.Has("gossip"))
+		return nil
+	case "remove":
+		return r.show(r.table.Remove(r.now, r.agent(c.Arg(0)), nil))
+	case "tick":
+		return r.show(r.table.Tick(r.now, nil))
+	case "syn", "data":
+		h, raw := r.packet(c.Name, c.Arg(0), c.Int(r.t, "copy")+c.Int(r.t, "ack"))
+		return r.show(r.table.Packet(r.now, &h, raw, nil))
+	case "owned":
+		h := parcel.Header{Kind: parcel.Owned, Flow: r.key(c.Arg(1))}
+		return r.show(r.table.Answer(r.now, r.agent(c.Arg(0)), &h, nil, nil, nil))
+	case "refused":
+		return r.refused(c)
+	case "owner":
+		f := r.table.flows[r.key(c.Arg(0))]
+		if f == nil || !f.owner.IsValid() {
+			return []string{"unknown"}
+		}
+		return []string{agentName(f.owner)}
+	}
+	return script.Unknown(r.t, c)
+}
+
+// routes VERSION r1=bookdesk:9,kitdocs:1 r2=kitdocs
+func (r *runner) setRoutes(c script.Command) {
+	version, err := strconv.ParseUint(c.Arg(0), 10, 64)
+	qt.Assert(r.t, qt.IsNil(err))
+	cfg := route.Config{Version: version}
+	for name, split := range c.Opts {
+		rt := route.Route{Name: name, Listen: r.listen(name)}
+		for s := range strings.SplitSeq(split, ",") {
+			service, weight, ok := strings.Cut(s, ":")
+			w := uint64(1)
+			if ok {
+				w, err = strconv.ParseUint(weight, 10, 32)
+				qt.Assert(r.t, qt.IsNil(err))
+			}
+			rt.Shares = append(rt.Shares, route.Share{Service: service, Weight: uint32(w)})
+		}
+		cfg.Routes = append(cfg.Routes, rt)
+	}
+	table, err := route.NewTable(cfg)
+	qt.Assert(r.t, qt.IsNil(err))
+	r.table.SetRoutes(table)
+}
+
+// target a1 bookdesk [draining] [silent] [gossip] [flows=N] [weight=N]
+func (r *runner) target(c script.Command) Target {
+	weight := 4.0
+	if _, ok := c.Opts["weight"]; ok {
+		weight = float64(c.Int(r.t, "weight"))
+	}
+	return Target{
+		Agent: r.agent(c.Arg(0)), Service: c.Arg(1), Weight: weight, Flows: uint32(c.Int(r.t, "flows")),
+		Ready: !c.Has("draining"), Silent: c.Has("silent"),
+	}
+}
+
+func (r *runner) packet(kind, flow string, ack int) (packet.Head, []byte) {
+	k := r.key(flow)
+	h := packet.Head{Flags: packet.SYN, Src: k.Client, Dst: k.Route, Ack: uint32(ack)}
+	if kind == "data" {
+		h.Flags, h.DataLen = packet.ACK, 100
+	}
+	return h, []byte(kind + " " + flow)
+}
+
+// refused a1 c1 REASON syn|data|ask [copy=N] [ack=N]
+func (r *runner) refused(c script.Command) []string {
+	reasons := map[string]parcel.Reason{}
+	for reason := parcel.NotHeld; reason <= parcel.WrongService; reason++ {
+		reasons[reason.String()] = reason
+	}
+	h := parcel.Header{Kind: parcel.Refused, Reason: reasons[c.Arg(2)], Flow: r.key(c.Arg(1))}
+	qt.Assert(r.t, qt.Not(qt.Equals(h.Reason, 0)))
+	if c.Has("ask") {
+		return r.show(r.table.Answer(r.now, r.agent(c.Arg(0)), &h, nil, nil, nil))
+	}
+	p, raw := r.packet(c.Arg(3), c.Arg(1), c.Int(r.t, "copy")+c.Int(r.t, "ack"))
+	return r.show(r.table.Answer(r.now, r.agent(c.Arg(0)), &h, &p, raw, nil))
+}
+
+func (r *runner) show(actions []Action) []string {
+	var shown []string
+	for _, a := range actions {
+		switch a.Verb {
+		case Send:
+			kind := "deliver"
+			if a.Kind == parcel.Ask {
+				kind = "ask"
+			}
+			s := fmt.Sprintf("%s %s %s: %s", kind, agentName(a.Agent), a.Cause, a.Packet)
+			if a.Service != "" {
+				s += " for " + a.Service
+			}
+			shown = append(shown, s)
+		case Reset:
+			shown = append(shown, fmt.Sprintf("reset %s ack=%d", a.Cause, a.ClientAck))
+		case Drop:
+			shown = append(shown, fmt.Sprintf("drop %s", a.Cause))
+		}
+	}
+	slices.Sort(shown)
+	return shown
+}
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -101,7 +101,7 @@
 	waiting []netip.AddrPort // agents that have not answered
 	refused []netip.AddrPort // agents that do not hold the flow
 	held    [][]byte         // packets, the oldest first
-	waves   int
+	wide    bool             // all agents have been asked
 	started time.Time
 	asked   time.Time // when the last wave was sent
 }
@@ -354,8 +354,7 @@
 		return out
 	}
 	f.owner, f.owned = netip.AddrPort{}, false
-	out = t.find(now, h.Flow, f, raw, out)
-	return t.refusedLookup(now, from, h.Flow, f, out)
+	return t.find(now, h.Flow, f, raw, out, from)
 }
 
 func (t *Table) ownedBy(now time.Time, from netip.AddrPort, k packet.Key, out []Action) []Action {
