Withdraw readiness when no agent is heard, and judge none meanwhile

Cause: a balancer cut off from all machines stayed in the rotation, reset flows and refused new ones. Ruled out: the agents, which served others all the while.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -97,11 +97,12 @@
 	lastIn   atomic.Int64 // Unix nanoseconds of the last packet of a client
 	newer    chan struct{}
 
-	mu      sync.Mutex // guards what follows
-	steer   *steering.Table
-	members *membership.Balancer
-	synced  uint64 // version of the members that steer has
-	settled bool   // whether all members have been known
+	mu       sync.Mutex // guards what follows
+	steer    *steering.Table
+	members  *membership.Balancer
+	synced   uint64 // version of the members that steer has
+	settled  bool   // whether all members are known
+	isolated bool   // whether no agent is heard any more
 }
 
 type server struct {
@@ -199,8 +200,8 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if b.steer.Routes() == nil {
-		return false
+	if b.steer.Routes() == nil || b.isolated {
+		return false // the fabric may know a balancer that serves
 	}
 	return b.steer.TargetCount() > 0 || time.Since(b.started) > readyWithin
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -40,12 +40,18 @@
 
 // Notes whether all members are known; called with mu held.
 func (b *Balancer) settle(now time.Time) {
-	if b.settled || !b.members.Settled(now) {
+	isolated := b.members.Isolated(now)
+	if isolated != b.isolated {
+		b.isolated = isolated
+		b.log.Warn().Str("event", "isolated").Bool("isolated", isolated).Msg("")
+	}
+	settled := b.members.Settled(now) && !isolated
+	if settled == b.settled {
 		return
 	}
-	b.settled = true
-	b.steer.SetSettled(true)
-	b.log.Info().Str("event", "settled").Dur("age", now.Sub(b.started)).Int("targets", b.steer.TargetCount()).Msg("")
+	b.settled = settled
+	b.steer.SetSettled(settled)
+	b.log.Info().Str("event", "settled").Bool("settled", settled).Dur("age", now.Sub(b.started)).Int("targets", b.steer.TargetCount()).Msg("")
 }
 
 // Takes over what changed about members, and returns what that gives rise to;
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -25,6 +25,7 @@
 	deltaMessages     = 8                      // messages with news in a tick
 	repairEvery       = time.Second
 	firstRepairEvery  = 100 * time.Millisecond // until all members are known
+	isolatedAfter     = 900 * time.Millisecond // without any agent's heartbeat; each sends one every beatEvery
 	startTick         = 50 * time.Millisecond  // until all members are known
 	bucketsPerRepair  = roster.BucketCount / 4
 	reintroduceEvery  = 2 * time.Second        // joins halves that lost each other
@@ -60,6 +61,7 @@
 	told       bool                    // whether the registry has been read
 	settled    bool
 	peers      peerViews
+	heardAgent time.Time // last heartbeat of any agent
 }
 
 // Version is a configuration version that a peer has in force.
@@ -132,9 +134,17 @@
 	return b.settled
 }
 
+// Isolated reports whether the balancer has stopped hearing agents altogether, so
+// that it is more likely cut off than all of them gone.
+func (b *Balancer) Isolated(now time.Time) bool {
+	return !b.heardAgent.IsZero() && now.Sub(b.heardAgent) >= isolatedAfter
+}
+
 // Tick returns the messages that are due.
 func (b *Balancer) Tick(now time.Time) []Outgoing {
-	b.members.Tick(now, b.me.Addr)
+	if !b.Isolated(now) {
+		b.members.Tick(now, b.me.Addr)
+	}
 	var out []Outgoing
 	for range deltaMessages {
 		deltas := b.members.Deltas(membersPerMessage)
@@ -199,6 +209,7 @@
 // Takes an agent's heartbeat, and answers it when the agent asks or when what
 // the agent says of itself is not what is known here.
 func (b *Balancer) heartbeat(now time.Time, m *control.Message) []Outgoing {
+	b.heardAgent = now
 	b.members.Heard(now, m.From)
 	known, _ := b.members.Get(m.From.Addr)
 	observers := b.members.Observers(m.From.Service, Timing.Observers)
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -106,6 +106,8 @@
 		return []string{fmt.Sprintf("%d from %s", newest.Number, nameOf(newest.From))}
 	case "settled":
 		return []string{fmt.Sprint(n.balancers[c.Arg(0)].Settled(n.now))}
+	case "isolated":
+		return []string{fmt.Sprint(n.balancers[c.Arg(0)].Isolated(n.now))}
 	case "members":
 		return []string{n.members(c.Arg(0))}
 	case "observers":
