Wait for hosts that come back, and take flows at once beside a living host

Cause: after all processes were killed, balancers knew all agents within 0.1 s and refused new flows for want of targets, since agents take none before the next heartbeat of their hosts, up to 1.2 s later.

--- a/cmd/skylark-agent/platform.go
+++ b/cmd/skylark-agent/platform.go
@@ -59,6 +59,7 @@
 		Host:       s.Host,
 		ClientPort: s.Packets.Port(),
 		Seeds:      s.InnerSeeds(),
+		Service:    s.Service,
 		Secret:     s.Secret(),
 		FirstStart: s.FirstStart,
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -109,7 +109,7 @@
 	b.mu.Lock()
 	out := b.members.Receive(now, m)
 	if m.Kind == control.Heartbeat {
-		b.refresh(m.From.Addr)
+		b.refresh(now, m.From.Addr)
 	}
 	b.settle(now)
 	actions := b.syncTargets(now)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -63,7 +63,7 @@
 	}
 	b.synced = members.Version()
 	for _, m := range members.Members(func(m *roster.Member) bool { return m.Role == roster.Agent }) {
-		b.putTarget(&m, false)
+		b.putTarget(now, &m, false)
 	}
 	var ended []netip.AddrPort
 	b.steer.Targets(func(t steering.Target) {
@@ -80,13 +80,13 @@
 }
 
 // Takes over an agent's heartbeat; called with mu held.
-func (b *Balancer) refresh(agent netip.AddrPort) {
+func (b *Balancer) refresh(now time.Time, agent netip.AddrPort) {
 	if m, ok := b.members.Members().Get(agent); ok {
-		b.putTarget(&m, true)
+		b.putTarget(now, &m, true)
 	}
 }
 
-func (b *Balancer) putTarget(m *roster.Member, fresh bool) {
+func (b *Balancer) putTarget(now time.Time, m *roster.Member, fresh bool) {
 	if m.State >= roster.Gone {
 		return
 	}
@@ -94,11 +94,12 @@
 		Agent:   m.Addr,
 		Service: m.Serves,
 		Ready:   m.State == roster.Ready,
+		Coming:  m.State == roster.Starting,
 		Silent:  m.State == roster.Suspect,
 		Weight:  float64(m.Slots) * float64(m.Warmth) / fullWarmth,
 		Flows:   m.Sessions,
 	}
-	if b.steer.Put(t, fresh) {
+	if b.steer.Put(now, t, fresh) {
 		b.log.Info().Str("event", "target").Stringer("agent", m.Addr).Str("name", m.Name).
 			Str("service", m.Serves).Stringer("state", m.State).Uint64("incarnation", m.Incarnation).Uint32("seq", m.Seq).Msg("")
 	}
--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -42,6 +42,9 @@
 	return [...]string{"unknown", "unchanged", "stale", "joined", "changed"}[v%5]
 }
 
+// firstReport is the number of an incarnation's first report.
+const firstReport = 1
+
 // leaveGrace is the time from a host's farewell to its end, after which its
 // flows are reset.
 const leaveGrace = 150 * time.Millisecond
@@ -84,7 +87,9 @@
 	if known {
 		t.retire(old)
 		out = t.endAll(HostRestarted, out)
-		t.complete = true
+	}
+	if known || r.Seq == firstReport {
+		t.complete = true // what the host holds has come through this process
 	}
 	return Joined, out
 }
@@ -108,6 +113,9 @@
 // Left takes a host's farewell and reports whether it came from the current
 // incarnation; its flows are reset when it has had the time to end.
 func (t *Table) Left(now time.Time, id string) bool {
+	if t.host.ID == "" {
+		t.host.ID = id // its last report went to a process before this one
+	}
 	if id != t.host.ID || t.left {
 		return false
 	}
--- a/internal/flowtable/silence.go
+++ b/internal/flowtable/silence.go
@@ -24,21 +24,43 @@
 	t.silence.packets++
 }
 
+// provisionalSlots is the number of slots that a host counts with until it has
+// told its own.
+const provisionalSlots = 4
+
 // Suspicious reports whether the host may have ended: it has been silent for some
 // time while packets for it arrived, or it has never been heard of while
 // balancers ask for its flows.
 func (t *Table) Suspicious(now time.Time) bool {
-	if t.host.ID == "" && len(t.questions) > 0 {
+	if t.host.ID == "" && !t.registered && len(t.questions) > 0 {
 		return true
 	}
 	return t.silence.packets >= silenceBounds && now.Sub(t.silence.since) >= silentAfter
 }
 
-// Checked takes the result of a connection attempt to the host: ended is true
-// when nothing listens there, which ends all its flows.
-func (t *Table) Checked(ended bool, out []Action) []Action {
+// CheckResult is the result of a connection attempt to the host.
+type CheckResult uint8
+
+// Results of checks.
+const (
+	HostUnclear   CheckResult = iota // no answer
+	HostListening                    // the host takes connections
+	HostAbsent                       // nothing listens at its address
+)
+
+// String returns the result in lower case.
+func (r CheckResult) String() string { return [...]string{"unclear", "listening", "absent"}[r%3] }
+
+// Checked takes the result of a connection attempt to the host. An absent host
+// has no flows any more. A host that takes connections but has never been heard
+// of by this process, which has started again beside it, counts as ready for the
+// service until its next heartbeat.
+func (t *Table) Checked(r CheckResult, service string, out []Action) []Action {
 	t.silence = silence{}
-	if !ended {
+	if r == HostListening && t.host.ID == "" && service != "" {
+		t.host, t.registered = Report{Service: service, State: HostReady, Slots: provisionalSlots}, true
+	}
+	if r != HostAbsent {
 		return out
 	}
 	t.registered = false
--- a/internal/hostside/agent.go
+++ b/internal/hostside/agent.go
@@ -52,6 +52,7 @@
 	Host       netip.AddrPort // UDP and TCP address of the host
 	ClientPort uint16         // UDP port at which clients receive
 	Seeds      []netip.AddrPort
+	Service    string // of the host, as the platform assigned it
 	Secret     []byte // authenticates control messages
 	FirstStart bool   // no host can have started before the agent
 }
@@ -121,6 +122,7 @@
 		return nil, err
 	}
 	me := roster.Member{Name: cfg.Name, Zone: cfg.Zone, Addr: a.inner.Addr(), Incarnation: uint64(now.UnixNano())}
+	serve(&me, cfg.Service)
 	a.members = membership.NewAgent(now, me, cfg.Seeds)
 	return a, nil
 }
@@ -227,36 +229,43 @@
 	checkEvery   = time.Second
 )
 
-// Finds out whether a silent host has ended: a connection that is refused is
-// certain news.
+// Finds out whether a silent host has ended, and at the start whether one runs
+// already.
 func (a *Agent) checkHost(ctx context.Context) error {
+	if !a.cfg.FirstStart {
+		a.wakeCheck()
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-a.checks:
 		}
-		ended := a.refused(ctx)
+		result := a.connect(ctx)
 		a.mu.Lock()
-		out := a.flows.Checked(ended, nil)
+		out := a.flows.Checked(result, a.cfg.Service, nil)
 		messages := a.announce(time.Now())
 		a.mu.Unlock()
-		a.log.Info().Str("event", "host_checked").Bool("ended", ended).Int("flows_reset", len(out)).Msg("")
+		a.log.Info().Str("event", "host_checked").Stringer("result", result).Int("actions", len(out)).Msg("")
 		a.act(out)
 		a.sendMessages(messages)
 		sleep(ctx, checkEvery)
 	}
 }
 
-// Reports whether the host's VM refuses connections to it.
-func (a *Agent) refused(ctx context.Context) bool {
+// Tries to connect to the host. Only a refused connection is certain news of its
+// end.
+func (a *Agent) connect(ctx context.Context) flowtable.CheckResult {
 	d := net.Dialer{Timeout: checkTimeout}
 	conn, err := d.DialContext(ctx, "tcp4", a.cfg.Host.String())
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+	switch {
+	case err == nil:
+		_ = conn.Close() // nothing was sent
+		return flowtable.HostListening
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return flowtable.HostAbsent
 	}
-	_ = conn.Close()
-	return false
+	return flowtable.HostUnclear
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/hostside/forward.go
+++ b/internal/hostside/forward.go
@@ -153,8 +153,7 @@
 		me.State = roster.Starting
 		if ok {
 			me.State = roster.Ready
-			me.Serves = host.Service
-			me.Service = uint16(parcel.ServiceIDOf(host.Service))
+			serve(me, host.Service)
 			me.Slots = uint32(host.Slots)
 			me.Warmth = fullWarmth
 		}
@@ -168,6 +167,12 @@
 	})
 }
 
+// Notes the service in the agent's record.
+func serve(me *roster.Member, service string) {
+	me.Serves = service
+	me.Service = uint16(parcel.ServiceIDOf(service)) // spreads services over observers
+}
+
 // Drives what depends on time.
 func (a *Agent) keepTime(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/steering/script_test.go
+++ b/internal/steering/script_test.go
@@ -72,13 +72,13 @@
 		r.setRoutes(c)
 		return nil
 	case "target":
-		r.table.Put(r.target(c), !c.Has("gossip"))
+		r.table.Put(r.now, r.target(c), !c.Has("gossip"))
 		return nil
 	case "remove":
 		return r.show(r.table.Remove(r.now, r.agent(c.Arg(0)), nil))
 	case "tick":
 		return r.show(r.table.Tick(r.now, nil))
-	case "syn", "data":
+	case "syn", "data", "fin":
 		h, raw := r.packet(c.Name, c.Arg(0), c.Int(r.t, "copy")+c.Int(r.t, "ack"))
 		return r.show(r.table.Packet(r.now, &h, raw, nil))
 	case "owned":
@@ -119,7 +119,7 @@
 	r.table.SetRoutes(table)
 }
 
-// target a1 bookdesk [draining] [silent] [gossip] [flows=N] [weight=N]
+// target a1 bookdesk [draining|coming] [silent] [gossip] [flows=N] [weight=N]
 func (r *runner) target(c script.Command) Target {
 	weight := 4.0
 	if _, ok := c.Opts["weight"]; ok {
@@ -127,15 +127,18 @@
 	}
 	return Target{
 		Agent: r.agent(c.Arg(0)), Service: c.Arg(1), Weight: weight, Flows: uint32(c.Int(r.t, "flows")),
-		Ready: !c.Has("draining"), Silent: c.Has("silent"),
+		Ready: !c.Has("draining") && !c.Has("coming"), Coming: c.Has("coming"), Silent: c.Has("silent"),
 	}
 }
 
 func (r *runner) packet(kind, flow string, ack int) (packet.Head, []byte) {
 	k := r.key(flow)
 	h := packet.Head{Flags: packet.SYN, Src: k.Client, Dst: k.Route, Ack: uint32(ack)}
-	if kind == "data" {
+	switch kind {
+	case "data":
 		h.Flags, h.DataLen = packet.ACK, 100
+	case "fin":
+		h.Flags = packet.ACK | packet.FIN
 	}
 	return h, []byte(kind + " " + flow)
 }
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -81,7 +81,7 @@
 type flow struct {
 	owner  netip.AddrPort // not valid while unknown
 	owned  bool           // the owner has confirmed it
-	opened bool           // the client has sent more than the opening packet
+	opened bool           // the client has sent more than the opening packet, and not its last
 	copies uint32         // number of the newest copy of the opening packet
 	tried  []netip.AddrPort
 	used   time.Time
@@ -154,7 +154,7 @@
 // Put takes what is known of a target; fresh tells that it comes from a new
 // heartbeat, which counts all flows placed there before. It reports whether the
 // target is new or has changed in what placement depends on, its load aside.
-func (t *Table) Put(n Target, fresh bool) bool {
+func (t *Table) Put(now time.Time, n Target, fresh bool) bool {
 	old := t.targets[n.Agent]
 	if old == nil {
 		old = &target{hash: agentHash(n.Agent)}
@@ -163,6 +163,9 @@
 		t.unlist(old)
 	}
 	relist := old.Service != n.Service || !old.Agent.IsValid()
+	if n.Coming && !old.Coming {
+		old.since = now
+	}
 	before := old.Target
 	before.Flows = n.Flows
 	old.Target = n
@@ -224,7 +227,7 @@
 		return t.opening(now, k, f, h, raw, out)
 	}
 	if f != nil {
-		f.opened, f.ack, f.parked = true, h.Ack, nil
+		f.opened, f.ack, f.parked = !ends(h.Flags), h.Ack, nil
 	}
 	if f != nil && f.owner.IsValid() && t.targets[f.owner] != nil {
 		return append(out, Action{Verb: Send, Cause: Known, Flow: k, Agent: f.owner, Kind: parcel.Deliver, Packet: raw})
@@ -243,6 +246,9 @@
 	return t.find(now, k, f, raw, out)
 }
 
+// Reports whether the client sends nothing further in the flow.
+func ends(f packet.Flags) bool { return f.Has(packet.FIN) || f.Has(packet.RST) }
+
 // Decides on a packet that opens a flow.
 func (t *Table) opening(now time.Time, k packet.Key, f *flow, h *packet.Head, raw []byte, out []Action) []Action {
 	if t.routes != nil && t.routes.Lookup(k.Route) == nil {
@@ -284,7 +290,7 @@
 	ranked := rank(hash, t.services[service], func(n *target) bool { return n.open() && !contains(f.tried, n.Agent) })
 	best := ranked.lightest()
 	if best == nil {
-		return append(out, t.unplaced(now, k, f, clientAck, raw))
+		return append(out, t.unplaced(now, k, f, service, clientAck, raw))
 	}
 	f.owner = best.Agent
 	best.placed++
@@ -295,8 +301,12 @@
 	return append(out, Action{Verb: Send, Cause: cause, Flow: k, Agent: best.Agent, Kind: parcel.Deliver, Service: service, Packet: raw})
 }
 
-func (t *Table) unplaced(now time.Time, k packet.Key, f *flow, clientAck uint32, raw []byte) Action {
+// Decides on a new flow that no target takes: it waits where one may take it
+// soon, and is refused at once where none will.
+func (t *Table) unplaced(now time.Time, k packet.Key, f *flow, service string, clientAck uint32, raw []byte) Action {
+	coming := slices.ContainsFunc(t.services[service], func(n *target) bool { return n.coming(now) })
 	switch {
+	case coming:
 	case len(f.tried) > 0:
 		f.tried = f.tried[:0] // a later copy may try them again
 		return Action{Verb: Reset, Cause: AllRefused, Flow: k, ClientAck: clientAck}
--- a/internal/steering/target.go
+++ b/internal/steering/target.go
@@ -4,6 +4,7 @@
 	"math/bits"
 	"net/netip"
 	"slices"
+	"time"
 
 	"skylarkturn/internal/packet"
 )
@@ -13,6 +14,7 @@
 	Agent   netip.AddrPort
 	Service string
 	Ready   bool    // takes new flows
+	Coming  bool    // does not take new flows yet
 	Silent  bool    // its heartbeats are overdue
 	Weight  float64 // relative share of the service's flows
 	Flows   uint32  // open at its last heartbeat
@@ -25,9 +27,18 @@
 
 type target struct {
 	Target
-	hash     uint64 // of the agent's address
-	placed   uint32 // flows placed here since its last heartbeat
-	refusing bool   // has refused a new flow since its last heartbeat
+	hash     uint64    // of the agent's address
+	placed   uint32    // flows placed here since its last heartbeat
+	refusing bool      // has refused a new flow since its last heartbeat
+	since    time.Time // since when it has been coming
+}
+
+// comingFor is the time that a target which does not take new flows yet is waited
+// for: hosts that start report within it, and those that have crashed take longer.
+const comingFor = 2 * time.Second
+
+func (t *target) coming(now time.Time) bool {
+	return t.Coming && !t.Silent && now.Sub(t.since) < comingFor
 }
 
 // Returns the load of the target if it took one more flow, relative to its share.
