--- a/cmd/skylark-stand/main.go
+++ b/cmd/skylark-stand/main.go
@@ -32,6 +32,7 @@
 	Demo     demoCmd          `cmd:"" help:"Run both tenants of the brief in one process for some 20 s."`
 	Run      runCmd           `cmd:"" help:"Run the experiment of a TOML file with the built programs as processes."`
 	Capacity capacityCmd      `cmd:"" help:"Measure the slopes of docs/CAPACITY.md with the built programs."`
+	Soak     soakCmd          `cmd:"" help:"Run the built programs on stand-ins of the platform under random faults."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
--- /dev/null
+++ b/cmd/skylark-stand/soak.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"skylarkturn/internal/platformstand"
+)
+
+type soakCmd struct {
+	Bin       string        `help:"Directory of skylark-balancer and skylark-agent; the one of this program when empty." type:"path"`
+	First     uint64        `help:"Seed of the first run." default:"1"`
+	Runs      int           `help:"Number of runs, with rising seeds." default:"1"`
+	Parallel  int           `help:"Runs at a time." default:"1"`
+	Length    time.Duration `help:"Time of the faults in a run; some seconds of calm follow." default:"20s"`
+	Balancers int           `help:"Balancers at the start." default:"3"`
+	Hosts     int           `help:"Hosts of each of the two services at the start." default:"3"`
+	Users     int           `help:"Users, each with one request at a time." default:"20"`
+	Dir       string        `help:"Directory for the log of each run; a temporary one when empty." type:"path"`
+	JSON      bool          `help:"Print a JSON object for each run."`
+}
+
+type soakResult struct {
+	Seed     uint64         `json:"seed"`
+	Requests int            `json:"requests"`
+	Share    float64        `json:"share_served"`
+	After    float64        `json:"share_served_after"`
+	Failures map[string]int `json:"failures"`
+	Broken   []string       `json:"broken"`
+}
+
+// Run runs soaks of the platform path.
+func (c *soakCmd) Run(ctx context.Context) error {
+	bin, err := binDir(c.Bin)
+	if err != nil {
+		return err
+	}
+	dir := c.Dir
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "skylark-soak"); err != nil {
+			return err
+		}
+	}
+	fmt.Fprintln(os.Stderr, "logs are in", dir)
+	var (
+		mu      sync.Mutex
+		running sync.WaitGroup
+		broken  bool
+		failed  error
+	)
+	slots := make(chan struct{}, max(c.Parallel, 1))
+	for i := range c.Runs {
+		seed := c.First + uint64(i)
+		slots <- struct{}{}
+		running.Go(func() {
+			defer func() { <-slots }()
+			r, err := c.one(ctx, bin, dir, seed)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				failed = fmt.Errorf("seed %d: %w", seed, err)
+				return
+			}
+			broken = broken || len(r.Broken) > 0
+			c.print(r)
+		})
+	}
+	running.Wait()
+	switch {
+	case failed != nil:
+		return failed
+	case broken:
+		return errBroken
+	}
+	return nil
+}
+
+func (c *soakCmd) one(ctx context.Context, bin, dir string, seed uint64) (soakResult, error) {
+	run := filepath.Join(dir, fmt.Sprintf("seed-%d", seed))
+	if err := os.MkdirAll(run, 0o755); err != nil {
+		return soakResult{}, err
+	}
+	f, err := os.Create(filepath.Join(run, "log"))
+	if err != nil {
+		return soakResult{}, err
+	}
+	defer f.Close()
+	s := platformstand.Soak{Bin: bin, Dir: run, Seed: seed, Length: c.Length, Balancers: c.Balancers, Hosts: c.Hosts, Users: c.Users, Out: f, Log: f}
+	r, err := s.Run(ctx)
+	return soakResult{seed, r.Requests, r.Share, r.After, r.Failures, r.Broken}, err
+}
+
+func (c *soakCmd) print(r soakResult) {
+	if c.JSON {
+		_ = json.NewEncoder(os.Stdout).Encode(r) // the reader may have gone
+		return
+	}
+	fmt.Printf("seed %d: %d requests, %.3f served, %.3f after the faults, failures %v\n", r.Seed, r.Requests, r.Share, r.After, r.Failures)
+	for _, b := range r.Broken {
+		fmt.Println("  broken:", b)
+	}
+}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -41,7 +41,7 @@
 	}
 	b.steer.SetRoutes(table)
 	b.members.SetVersion(cfg.Version)
-	out := b.members.Gossip(time.Now(), nil)
+	out := b.members.Gossip(time.Now())
 	b.mu.Unlock()
 	b.sendMessages(out)
 	b.log.Info().Str("event", "configuration").Uint64("version", cfg.Version).Uint64("before", old).
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -11,7 +11,7 @@
 
 type counters struct {
 	actions     [steering.Drop + 1][steering.Causes]*metrics.Counter
-	refused     [parcel.WrongService + 1]*metrics.Counter
+	refused     [parcel.Reasons]*metrics.Counter
 	forged      *metrics.Counter
 	readErrors  *metrics.Counter
 	storeErrors *metrics.Counter
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -66,7 +66,7 @@
 		b.counters.actions[a.Verb][a.Cause].Inc()
 		switch a.Verb {
 		case steering.Send:
-			h := parcel.Header{Kind: a.Kind, Flow: a.Flow}
+			h := parcel.Header{Kind: a.Kind, Flow: a.Flow, Ack: a.ClientAck}
 			if a.Service != "" {
 				h.Service = parcel.ServiceIDOf(a.Service)
 			}
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -67,6 +67,9 @@
 		return r.show(r.table.Tick(r.now, nil))
 	case "client":
 		return r.fromClient(c)
+	case "ask": // ask b1 c1 [ack=N]
+		h := parcel.Header{Kind: parcel.Ask, Flow: packet.Key{Client: client(r.t, c.Arg(1)), Route: listen}, Ack: uint32(c.Int(r.t, "ack"))}
+		return r.show(r.table.Asked(r.balancer(c.Arg(0)), &h, nil))
 	case "host":
 		return r.fromHost(c)
 	case "suspicious":
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -149,7 +149,7 @@
 		return t.deliverUnknown(now, from, h.Kind, k, raw, out)
 	}
 	if f.state == halfOpen {
-		if !f.answered || p.Ack-f.hostSeq > ackWindow {
+		if !f.accepts(p.Ack) {
 			return append(out, refusal(k, from, h.Kind, parcel.NotHeld, raw)) // another host's flow
 		}
 		f.state = open
@@ -163,6 +163,24 @@
 	return out
 }
 
+// Asked answers a balancer that asks whether the host holds a flow.
+func (t *Table) Asked(from netip.AddrPort, h *parcel.Header, out []Action) []Action {
+	f := t.flows[h.Flow]
+	switch {
+	case f == nil && !t.tellsByItself():
+		return append(out, refusal(h.Flow, from, parcel.Ask, parcel.Unsure, nil))
+	case f == nil || f.state == halfOpen && !f.accepts(h.Ack):
+		return append(out, refusal(h.Flow, from, parcel.Ask, parcel.NotHeld, nil))
+	}
+	return append(out, owned(h.Flow, from))
+}
+
+// Reports whether a flow that is not in the table is not at the host either.
+func (t *Table) tellsByItself() bool { return t.complete || t.left && t.leaveAt.IsZero() }
+
+// Reports whether the client's acknowledgement is of this host's acceptance.
+func (f *flow) accepts(ack uint32) bool { return f.answered && ack-f.hostSeq <= ackWindow }
+
 func (t *Table) deliverOpening(now time.Time, from netip.AddrPort, h *parcel.Header, k packet.Key, f *flow, raw []byte, out []Action) []Action {
 	if f == nil || f.state == closed {
 		if reason := t.accepts(h.Service); reason != 0 {
@@ -176,7 +194,7 @@
 
 // Decides on a packet of a flow that is not in the table.
 func (t *Table) deliverUnknown(now time.Time, from netip.AddrPort, kind parcel.Kind, k packet.Key, raw []byte, out []Action) []Action {
-	if t.complete || t.left && now.After(t.leaveAt) || len(t.questions) >= maxOpenAsks {
+	if t.tellsByItself() || len(t.questions) >= maxOpenAsks {
 		return append(out, refusal(k, from, kind, parcel.NotHeld, raw))
 	}
 	t.questions[k] = question{from, now}
--- a/internal/hostside/forward.go
+++ b/internal/hostside/forward.go
@@ -19,8 +19,15 @@
 	coldWarmth      = 60   // a host that warms up is some 1.6 times slower
 )
 
-// Parcel takes a client's packet from a balancer.
+// Parcel takes a client's packet, or a question about a flow, from a balancer.
 func (a *Agent) Parcel(from netip.AddrPort, h *parcel.Header, content []byte) {
+	if h.Kind == parcel.Ask && len(content) == 0 {
+		a.mu.Lock()
+		out := a.flows.Asked(from, h, nil)
+		a.mu.Unlock()
+		a.act(out)
+		return
+	}
 	p, err := a.platform.Format.Parse(content)
 	if err != nil || h.Kind != parcel.Deliver && h.Kind != parcel.Ask {
 		a.counters.forged.Inc()
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -151,11 +151,11 @@
 		if len(deltas) == 0 {
 			break
 		}
-		out = append(out, b.Gossip(now, deltas)...)
+		out = append(out, b.tell(now, roster.Fanout, deltas)...)
 	}
 	if now.Sub(b.gossiped) >= beatEvery {
 		b.gossiped = now
-		out = append(out, b.Gossip(now, nil)...)
+		out = append(out, b.Gossip(now)...)
 	}
 	if b.Alone() || now.Sub(b.introduced) >= reintroduceEvery {
 		b.introduced = now
@@ -165,9 +165,12 @@
 }
 
 // Gossip returns messages that tell peers of the configuration version in force
-// and of some members.
-func (b *Balancer) Gossip(now time.Time, members []roster.Member) (out []Outgoing) {
-	for _, p := range b.members.Peers(b.me.Addr, maxPeers) {
+// and let them compare what they know of members.
+func (b *Balancer) Gossip(now time.Time) []Outgoing { return b.tell(now, maxPeers, nil) }
+
+// Tells up to n peers of some members.
+func (b *Balancer) tell(now time.Time, n int, members []roster.Member) (out []Outgoing) {
+	for _, p := range b.members.Peers(b.me.Addr, n) {
 		b.members.Await(now, p.Addr)
 		out = append(out, Outgoing{p.Addr, b.message(control.Gossip, members)})
 	}
@@ -314,7 +317,7 @@
 func (b *Balancer) Farewell(now time.Time) []Outgoing {
 	b.me.Seq++
 	b.me.State = roster.Left
-	return b.Gossip(now, []roster.Member{b.me})
+	return b.tell(now, maxPeers, []roster.Member{b.me})
 }
 
 func addSeeds(seeds []netip.AddrPort, self netip.AddrPort, more []netip.AddrPort) []netip.AddrPort {
--- a/internal/parcel/parcel.go
+++ b/internal/parcel/parcel.go
@@ -19,7 +19,7 @@
 // Kinds of parcels.
 const (
 	Deliver Kind = iota + 1 // balancer to agent: a packet for a flow of the agent's host
-	Ask                     // balancer to agent: the same, and an answer is wanted in any case
+	Ask                     // balancer to agent: whether the host holds a flow, with or without a packet of it
 	Owned                   // agent to balancer: the host holds the flow, or has accepted it
 	Refused                 // agent to balancer: the packet was not given to the host, or came back
 )
@@ -34,9 +34,13 @@
 	Draining                       // the host is to get no new flows
 	NoHost                         // no host has registered
 	WrongService                   // the host belongs to another service
+	Unsure                         // the host alone can tell, by a packet of the flow
 )
 
-var reasonNames = [...]string{"unknown", "not_held", "full", "draining", "no_host", "wrong_service"}
+var reasonNames = [...]string{"unknown", "not_held", "full", "draining", "no_host", "wrong_service", "unsure"}
+
+// Reasons is the number of reasons, for tables indexed by them.
+const Reasons = len(reasonNames)
 
 // String returns the reason in snake case.
 func (r Reason) String() string {
@@ -55,13 +59,14 @@
 // Header is the head of a parcel.
 type Header struct {
 	Kind    Kind
-	Reason  Reason     // of a Refused parcel
-	Service ServiceID  // that the packet was placed for; zero for a packet of an open flow
-	Flow    packet.Key // of an Owned or Refused parcel
+	Reason  Reason    // of a Refused parcel
+	Service ServiceID // that the packet was placed for; zero for a packet of an open flow
+	Flow    packet.Key
+	Ack     uint32 // the client's last acknowledgement number, of an Ask without a packet
 }
 
 // HeaderLen is the length in bytes of an encoded Header.
-const HeaderLen = 3 + 8 + packet.KeyLen
+const HeaderLen = 3 + 8 + packet.KeyLen + 4
 
 // MaxLen is the size in bytes of the largest parcel.
 const MaxLen = HeaderLen + packet.MaxLen
@@ -87,6 +92,7 @@
 	b = append(b, Magic, byte(h.Kind), byte(h.Reason))
 	b = binary.BigEndian.AppendUint64(b, uint64(h.Service))
 	b = h.Flow.Append(b)
+	b = binary.BigEndian.AppendUint32(b, h.Ack)
 	return append(b, content...)
 }
 
@@ -102,10 +108,11 @@
 	if h.Kind < Deliver || h.Kind > Refused {
 		return h, nil, &Error{"decode", KindFormat, fmt.Errorf("kind %d is unknown", h.Kind)}
 	}
-	if h.Reason > WrongService {
+	if int(h.Reason) >= Reasons {
 		return h, nil, &Error{"decode", KindFormat, fmt.Errorf("reason %d is unknown", h.Reason)}
 	}
 	h.Service = ServiceID(binary.BigEndian.Uint64(b[3:]))
 	h.Flow = packet.DecodeKey(b[11:])
+	h.Ack = binary.BigEndian.Uint32(b[11+packet.KeyLen:])
 	return h, b[HeaderLen:], nil
 }
--- a/internal/parcel/parcel_test.go
+++ b/internal/parcel/parcel_test.go
@@ -10,7 +10,7 @@
 
 var header = Header{
 	Kind: Refused, Reason: Draining, Service: ServiceIDOf("bookdesk"),
-	Flow: packet.Key{Client: packet.Endpoint{IP: 1, Port: 2}, Route: packet.Endpoint{IP: 3, Port: 4}},
+	Flow: packet.Key{Client: packet.Endpoint{IP: 1, Port: 2}, Route: packet.Endpoint{IP: 3, Port: 4}}, Ack: 5,
 }
 
 func TestDecodeGivesWhatWasAppended(t *testing.T) {
--- /dev/null
+++ b/internal/platformstand/site.go
@@ -0,0 +1,402 @@
+package platformstand
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"skylarkturn/internal/packet"
+	"skylarkturn/platform"
+)
+
+// Site is a deployment: daemons as processes, each with a loopback address as its
+// VM, among stand-ins of everything else.
+type Site struct {
+	Store  *Store
+	Record *Record
+
+	bin, dir string
+	log      io.Writer
+	ports    ports
+	storeURL *httptest.Server
+	fabric   *fabric
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+	rand     *rand.Rand
+
+	mu       sync.Mutex
+	vms      []*VM
+	net      [2]byte // the middle of the VMs' addresses
+	next     byte
+	version  int
+	active   []packet.Endpoint // routes that clients use
+	allow    map[packet.Endpoint][]string
+	firstRun bool
+}
+
+type ports struct{ packets, ready, control, outbound, app, inner uint16 }
+
+// VM is one VM with its daemon and, beside an agent, its host.
+type VM struct {
+	Name    string
+	Addr    netip.Addr
+	Service string // of the host; "" on balancers
+	Host    *Host
+
+	site    *Site
+	mu      sync.Mutex
+	process *os.Process
+	ended   chan struct{}
+	stopped bool // not to be started again
+}
+
+// Options are the options of a Site.
+type Options struct {
+	Bin  string    // directory of the built programs
+	Dir  string    // for settings files
+	Log  io.Writer // for what daemons print
+	Seed uint64
+}
+
+// NewSite returns a site without daemons.
+func NewSite(o Options) (*Site, error) {
+	ctx, cancel := context.WithCancel(context.Background())
+	s := &Site{
+		Store: NewStore(), Record: NewRecord(DefaultBounds), bin: o.Bin, dir: o.Dir, log: o.Log,
+		ctx: ctx, cancel: cancel, rand: rand.New(rand.NewPCG(o.Seed, o.Seed)), firstRun: true,
+		net: [2]byte{byte(64 + os.Getpid()%128), byte(rand.IntN(256))}, allow: make(map[packet.Endpoint][]string),
+	}
+	if err := s.choosePorts(); err != nil {
+		cancel()
+		return nil, err
+	}
+	var err error
+	if s.fabric, err = newFabric(s.ports.packets, s.ports.ready); err != nil {
+		cancel()
+		return nil, err
+	}
+	s.storeURL = httptest.NewServer(s.Store)
+	s.storeURL.Config.ErrorLog = nil
+	s.done.Go(func() { s.fabric.probe(ctx) })
+	return s, nil
+}
+
+// Has the kernel choose ports, which are the same on all VMs. The VMs' addresses
+// differ between processes, so that these ports are free there.
+func (s *Site) choosePorts() error {
+	var chosen [7]uint16
+	for i := range chosen {
+		ln, err := net.Listen("tcp4", netip.AddrPortFrom(s.vm(0), 0).String())
+		if err != nil {
+			return &Error{"choose ports", KindNetwork, err}
+		}
+		defer ln.Close()
+		chosen[i] = uint16(ln.Addr().(*net.TCPAddr).Port)
+	}
+	inner := chosen[5]
+	if inner == 65535 {
+		inner = chosen[6]
+	}
+	s.ports = ports{chosen[0], chosen[1], chosen[2], chosen[3], chosen[4], inner}
+	return nil
+}
+
+func (s *Site) vm(n byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, s.net[0], s.net[1], n + 1})
+}
+
+func (s *Site) clientAddr(n byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, s.net[0] ^ 0x80, s.net[1], n + 1})
+}
+
+// Configure writes a configuration in which each route sends its flows to one
+// service; clients use the routes that are active.
+func (s *Site) Configure(routes map[string]string, active ...string) error {
+	s.mu.Lock()
+	s.version += 1 + s.rand.IntN(3)
+	spec := map[string]any{"version": s.version, "limits": map[string]int{"idle-timeout-ms": 15000}}
+	allow := make(map[packet.Endpoint][]string)
+	var list []map[string]any
+	var used []packet.Endpoint
+	for name, service := range routes {
+		at := routeAddr(name)
+		list = append(list, map[string]any{
+			"name": name, "hostname": at.Addr().String(), "path-prefix": fmt.Sprintf("/%d/", at.Port), "service": service,
+		})
+		allow[at] = []string{service}
+		if contains(active, name) {
+			used = append(used, at)
+		}
+	}
+	spec["routes"] = list
+	s.active = used
+	s.mu.Unlock()
+	if err := s.Store.Put("config", "main", spec); err != nil {
+		return err
+	}
+	s.Record.Configured(allow)
+	return nil
+}
+
+// Routes are named r0 to r9.
+func routeAddr(name string) packet.Endpoint {
+	return packet.Endpoint{IP: 0xc6120001, Port: 8000 + uint16(name[1])}
+}
+
+func (s *Site) routes() []packet.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.active
+}
+
+// AddBalancer starts a balancer on a new VM.
+func (s *Site) AddBalancer() (*VM, error) {
+	v := s.newVM("edge", "")
+	s.fabric.add(v.Addr)
+	return v, v.Start()
+}
+
+// AddHost starts an agent and a host of a service on a new VM.
+func (s *Site) AddHost(service string) (*VM, error) {
+	v := s.newVM("side", service)
+	if err := v.Start(); err != nil {
+		return v, err
+	}
+	return v, v.StartHost()
+}
+
+func (s *Site) newVM(role, service string) *VM {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := &VM{Name: fmt.Sprintf("%s-%d", role, s.next), Addr: s.vm(s.next), Service: service, site: s}
+	s.next++
+	s.vms = append(s.vms, v)
+	return v
+}
+
+// VMs returns the VMs of balancers or of hosts that have not been stopped for
+// good.
+func (s *Site) VMs(balancers bool) (vms []*VM) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range s.vms {
+		if (v.Service == "") == balancers && !v.isStopped() {
+			vms = append(vms, v)
+		}
+	}
+	return vms
+}
+
+// Started tells that whatever starts from now on is a restart or an addition.
+func (s *Site) Started() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.firstRun = false
+}
+
+// Clients starts users, who ask until the site is closed.
+func (s *Site) Clients(n int) error {
+	for i := range n {
+		at := netip.AddrPortFrom(s.clientAddr(byte(i)), s.ports.packets)
+		conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+		if err != nil {
+			return &Error{"start client", KindNetwork, err}
+		}
+		c := &client{
+			name: fmt.Sprint("user-", i), conn: conn, fabric: s.fabric, record: s.Record, routes: s.routes,
+			rand: rand.New(rand.NewPCG(s.rand.Uint64(), uint64(i))),
+		}
+		s.done.Go(func() {
+			c.run(s.ctx)
+			_ = conn.Close() // nothing is sent to it any more
+		})
+	}
+	return nil
+}
+
+// WaitReady waits until n balancers are in rotation.
+func (s *Site) WaitReady(n int, within time.Duration) error {
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if s.fabric.readyCount() >= n {
+			return nil
+		}
+	}
+	return &Error{"wait", KindProcess, fmt.Errorf("%d of %d balancers are ready after %v", s.fabric.readyCount(), n, within)}
+}
+
+// Lose loses a share of the clients' packets on their way to balancers.
+func (s *Site) Lose(share float64) { s.fabric.lose(share) }
+
+// Close ends clients, hosts and daemons.
+func (s *Site) Close() {
+	s.cancel()
+	s.mu.Lock()
+	vms := append([]*VM{}, s.vms...)
+	s.mu.Unlock()
+	for _, v := range vms {
+		v.Remove()
+	}
+	s.done.Wait()
+	s.storeURL.CloseClientConnections()
+	s.storeURL.Close()
+	_ = s.fabric.conn.Close() // nobody sends any more
+	http.DefaultClient.CloseIdleConnections()
+}
+
+func (v *VM) settings() string {
+	s, p := v.site, v.site.ports
+	at := func(port uint16) string { return netip.AddrPortFrom(v.Addr, port).String() }
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lines := []string{
+		"node-name=" + v.Name, "zone=z1", "ip=" + v.Addr.String(),
+		"listen.datagram-addr=" + at(p.packets), "listen.readiness-addr=" + at(p.ready), "listen.control=" + at(p.control),
+		fmt.Sprintf("port-range=%d,%d", p.inner, p.inner+1),
+		fmt.Sprintf("seeds=%v:%d,%v:%d", s.vm(0), p.control, s.vm(1), p.control),
+		fmt.Sprint("bootstrap=", s.firstRun), "bounds.grace-s=6",
+		"platform.address=" + strings.TrimPrefix(s.storeURL.URL, "http://"),
+	}
+	if v.Service != "" {
+		lines = append(lines, "listen.outbound="+at(p.outbound), "app="+at(p.app), "service="+v.Service)
+	}
+	return strings.Join(lines, "\n") + "\n"
+}
+
+// Start starts the VM's daemon.
+func (v *VM) Start() error {
+	path := filepath.Join(v.site.dir, v.Name+".conf")
+	if err := os.WriteFile(path, []byte(v.settings()), 0o600); err != nil {
+		return &Error{"start " + v.Name, KindProcess, err}
+	}
+	program := "skylark-balancer"
+	if v.Service != "" {
+		program = "skylark-agent"
+	}
+	cmd := exec.Command(filepath.Join(v.site.bin, program))
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
+	cmd.Stdout, cmd.Stderr = v.site.log, v.site.log
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.stopped {
+		return nil
+	}
+	if err := cmd.Start(); err != nil {
+		return &Error{"start " + v.Name, KindProcess, err}
+	}
+	ended := make(chan struct{})
+	v.process, v.ended = cmd.Process, ended
+	go func() {
+		defer close(ended)
+		_ = cmd.Wait() // how it ended is for the log
+	}()
+	return nil
+}
+
+// StartHost starts the VM's host.
+func (v *VM) StartHost() error {
+	p := v.site.ports
+	h, err := startHost(v.Addr, v.Service, p.app, p.outbound, p.control, v.site.Record)
+	if err != nil {
+		return err
+	}
+	v.mu.Lock()
+	v.Host = h
+	v.mu.Unlock()
+	return nil
+}
+
+func (v *VM) isStopped() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.stopped
+}
+
+func (v *VM) signal(sig syscall.Signal) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.process != nil {
+		_ = v.process.Signal(sig) // it may have ended
+	}
+}
+
+// Kill ends the daemon at once.
+func (v *VM) Kill() {
+	v.disrupted(0)
+	v.signal(syscall.SIGKILL)
+	v.wait()
+}
+
+// Stop asks the daemon to stop and waits until it has.
+func (v *VM) Stop() {
+	v.disrupted(0)
+	v.signal(syscall.SIGTERM)
+	v.wait()
+}
+
+// Freeze lets the daemon stand still for a time.
+func (v *VM) Freeze(d time.Duration) {
+	v.disrupted(d)
+	v.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	v.signal(syscall.SIGCONT)
+	v.disrupted(0)
+}
+
+// Hup tells the daemon that its settings have changed.
+func (v *VM) Hup() { v.signal(syscall.SIGHUP) }
+
+// Restart starts the daemon again after a pause.
+func (v *VM) Restart(pause time.Duration) error {
+	time.Sleep(pause)
+	err := v.Start()
+	v.disrupted(0)
+	return err
+}
+
+// Remove ends the daemon and the host for good.
+func (v *VM) Remove() {
+	v.mu.Lock()
+	v.stopped = true
+	h := v.Host
+	v.mu.Unlock()
+	if h != nil {
+		h.Crash()
+	}
+	v.Kill()
+}
+
+// Retire drains the host, and stops the daemon when the host has ended.
+func (v *VM) Retire(drain time.Duration) {
+	v.mu.Lock()
+	v.stopped = true
+	h := v.Host
+	v.mu.Unlock()
+	if h != nil {
+		h.Leave(drain)
+	}
+	v.Stop()
+}
+
+func (v *VM) wait() {
+	v.mu.Lock()
+	ended := v.ended
+	v.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+func (v *VM) disrupted(d time.Duration) { v.site.Record.Disrupted(v.Addr, time.Now().Add(d)) }
--- a/internal/steering/lookup.go
+++ b/internal/steering/lookup.go
@@ -16,15 +16,12 @@
 	l := f.lookup
 	if l != nil {
 		l.hold(raw)
-		if now.Sub(l.asked) >= askAgain && len(l.waiting) > 0 {
-			return t.ask(now, k, f, l.waiting, out)
-		}
 		return append(out, Action{Verb: Drop, Cause: Waiting, Flow: k})
 	}
 	if len(t.pending) >= maxPending {
 		return append(out, Action{Verb: Drop, Cause: Unsettled, Flow: k})
 	}
-	l = &lookup{started: now, refused: refused}
+	l = &lookup{started: now, refused: refused, again: askAgain}
 	l.hold(raw)
 	f.lookup = l
 	t.pending[k] = f
@@ -60,18 +57,30 @@
 	l := f.lookup
 	l.asked = now
 	for _, a := range agents {
-		out = append(out, Action{Verb: Send, Cause: LookedUp, Flow: k, Agent: a, Kind: parcel.Ask, Packet: l.held[0]})
+		out = append(out, t.question(k, f, a))
 	}
 	return out
 }
 
+// Returns the question to an agent; it carries a packet only where the agent
+// can't tell otherwise.
+func (t *Table) question(k packet.Key, f *flow, agent netip.AddrPort) Action {
+	x := Action{Verb: Send, Cause: LookedUp, Flow: k, Agent: agent, Kind: parcel.Ask, ClientAck: f.ack}
+	if contains(f.lookup.unsure, agent) {
+		x.Packet = f.lookup.held[0]
+	}
+	return x
+}
+
 // Asks the agents that have not been asked yet.
 func (t *Table) askRest(now time.Time, k packet.Key, f *flow, out []Action) []Action {
 	l := f.lookup
-	asked := len(l.waiting) + len(l.refused)
+	if len(l.refused) >= maxRefused {
+		return out // too many to ask them all; the flow's end can't be certain
+	}
 	var rest []netip.AddrPort
 	for a := range t.targets {
-		if asked+len(rest) >= maxAsked {
+		if len(l.waiting)+len(rest) >= maxAsked {
 			break
 		}
 		if !contains(l.waiting, a) && !contains(l.refused, a) {
@@ -79,7 +88,7 @@
 		}
 	}
 	slices.SortFunc(rest, netip.AddrPort.Compare)
-	l.wide = true
+	l.wide, l.again = true, askAgain
 	l.waiting = append(l.waiting, rest...)
 	switch {
 	case len(l.waiting) == 0:
@@ -90,11 +99,18 @@
 	return t.ask(now, k, f, rest, out)
 }
 
-func (t *Table) refusedLookup(now time.Time, from netip.AddrPort, k packet.Key, f *flow, out []Action) []Action {
-	l := f.lookup
+func (t *Table) refusedLookup(now time.Time, from netip.AddrPort, h *parcel.Header, f *flow, out []Action) []Action {
+	l, k := f.lookup, h.Flow
 	if l == nil || contains(l.refused, from) {
 		return out
 	}
+	if h.Reason == parcel.Unsure {
+		if !contains(l.unsure, from) {
+			l.unsure = append(l.unsure, from)
+			return append(out, t.question(k, f, from))
+		}
+		return out
+	}
 	l.waiting = slices.DeleteFunc(l.waiting, func(a netip.AddrPort) bool { return a == from })
 	l.refused = append(l.refused, from)
 	if len(l.waiting) == 0 {
@@ -115,7 +131,8 @@
 		return t.askRest(now, k, f, out)
 	case !l.wide && now.Sub(l.asked) >= waveAfter:
 		return t.askRest(now, k, f, out)
-	case now.Sub(l.asked) >= askAgain:
+	case now.Sub(l.asked) >= l.again:
+		l.again = min(2*l.again, longestAgain)
 		return t.ask(now, k, f, l.waiting, out)
 	}
 	return out
--- a/internal/steering/script_test.go
+++ b/internal/steering/script_test.go
@@ -146,7 +146,7 @@
 // refused a1 c1 REASON syn|data|ask [copy=N] [ack=N]
 func (r *runner) refused(c script.Command) []string {
 	reasons := map[string]parcel.Reason{}
-	for reason := parcel.NotHeld; reason <= parcel.WrongService; reason++ {
+	for reason := parcel.NotHeld; int(reason) < parcel.Reasons; reason++ {
 		reasons[reason.String()] = reason
 	}
 	h := parcel.Header{Kind: parcel.Refused, Reason: reasons[c.Arg(2)], Flow: r.key(c.Arg(1))}
@@ -167,7 +167,10 @@
 			if a.Kind == parcel.Ask {
 				kind = "ask"
 			}
-			s := fmt.Sprintf("%s %s %s: %s", kind, agentName(a.Agent), a.Cause, a.Packet)
+			s := fmt.Sprintf("%s %s %s", kind, agentName(a.Agent), a.Cause)
+			if a.Packet != nil {
+				s += ": " + string(a.Packet)
+			}
 			if a.Service != "" {
 				s += " for " + a.Service
 			}
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -15,9 +15,11 @@
 	flowIdle     = 30 * time.Second // after which an owner is forgotten; asking finds it again
 	maxHeld      = 8                // packets of one flow held while its owner is looked up
 	maxPending   = 4096             // flows that wait for their owner or for a target
-	maxAsked     = 64               // agents asked for the owner of one flow
+	maxAsked     = 64               // agents asked for the owner of one flow at a time
+	maxRefused   = 512              // agents asked in all
 	waveAfter    = 60 * time.Millisecond
 	askAgain     = 180 * time.Millisecond  // shorter than a client's first retransmission
+	longestAgain = 720 * time.Millisecond  // each repetition waits twice as long, so that slow links recover
 	lookupFor    = 4 * time.Second         // after which a lookup without result is given up
 	openingFor   = 1400 * time.Millisecond // after which a client gives up opening a flow
 	lostFor      = 2 * time.Second         // time that later packets of a lost flow are answered by resets
@@ -75,7 +77,7 @@
 	Kind      parcel.Kind    // of Send
 	Service   string         // of Send, when the flow is new
 	Packet    []byte         // of Send
-	ClientAck uint32         // of Reset
+	ClientAck uint32         // of Reset, and of questions
 }
 
 type flow struct {
@@ -100,10 +102,12 @@
 type lookup struct {
 	waiting []netip.AddrPort // agents that have not answered
 	refused []netip.AddrPort // agents that do not hold the flow
+	unsure  []netip.AddrPort // agents whose host alone can tell, by a packet
 	held    [][]byte         // packets, the oldest first
 	wide    bool             // all agents have been asked
 	started time.Time
-	asked   time.Time // when the last wave was sent
+	asked   time.Time     // when the last questions were sent
+	again   time.Duration // until they are repeated
 }
 
 // Table is what a balancer knows of flows and targets. It is not safe for
@@ -358,7 +362,7 @@
 		return t.refusedOpening(now, from, h, f, p, raw, out)
 	}
 	if f.lookup != nil {
-		return t.refusedLookup(now, from, h.Flow, f, out)
+		return t.refusedLookup(now, from, h, f, out)
 	}
 	if f.owner != from || p == nil {
 		return out
@@ -379,7 +383,7 @@
 	}
 	f.lookup = nil
 	delete(t.pending, k)
-	for _, raw := range l.held[min(1, len(l.held)):] { // the question carried the first
+	for _, raw := range l.held {
 		out = append(out, Action{Verb: Send, Cause: Found, Flow: k, Agent: from, Kind: parcel.Deliver, Packet: raw})
 	}
 	return out
