Take young hosts to hold nothing from before, and return no packets of questions

Cause: after a loss of power hosts were up before their agents, so the agents could not tell what the hosts held; every lookup then took a packet to each host of the fleet and back (39,000 a second). Ruled out: slow starts; all agents had joined 0.6 s after power.

--- a/cmd/skylark-agent/platform.go
+++ b/cmd/skylark-agent/platform.go
@@ -61,6 +61,7 @@
 		Seeds:      s.InnerSeeds(),
 		Service:    s.Service,
 		Secret:     s.Secret(),
+		BeatEvery:  s.HeartbeatEvery,
 		FirstStart: s.FirstStart,
 	}
 }
--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -42,8 +42,15 @@
 	return [...]string{"unknown", "unchanged", "stale", "joined", "changed"}[v%5]
 }
 
-// firstReport is the number of an incarnation's first report.
-const firstReport = 1
+// youngFor is the age up to which a host that the agent has not known is taken
+// to have started after the agent. Where the agent was killed within that time
+// of the host's start, clients of the flows opened meanwhile are told to open
+// others, which costs less than to ask the hosts of a fleet about every flow that
+// a loss of power has ended.
+const youngFor = 4 * time.Second
+
+// Reports whether the host is young by the number of its reports.
+func (t *Table) isYoung(r Report) bool { return time.Duration(r.Seq)*t.beatEvery <= youngFor }
 
 // leaveGrace is the time from a host's farewell to its end, after which its
 // flows are reset.
@@ -88,7 +95,7 @@
 		t.retire(old)
 		out = t.endAll(HostRestarted, out)
 	}
-	if known || r.Seq == firstReport {
+	if known || t.isYoung(r) {
 		t.complete = true // what the host holds has come through this process
 	}
 	return Joined, out
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -20,7 +20,7 @@
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txt", func(t *testing.T) func(script.Command) []string {
 		now := time.Unix(1_800_000_000, 0)
-		r := &runner{t: t, table: New(now, false), now: now}
+		r := &runner{t: t, table: New(now, beatEvery, false), now: now}
 		return r.do
 	})
 }
@@ -31,6 +31,8 @@
 	now   time.Time
 }
 
+const beatEvery = 1200 * time.Millisecond
+
 var listen = packet.Endpoint{IP: 0xc6120001, Port: 443}
 
 func number(t testing.TB, name string) byte {
@@ -54,7 +56,7 @@
 func (r *runner) do(c script.Command) []string {
 	switch c.Name {
 	case "first":
-		r.table = New(r.now, true)
+		r.table = New(r.now, beatEvery, true)
 		return nil
 	case "wait":
 		r.now = r.now.Add(c.Duration(r.t, 0))
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -94,12 +94,14 @@
 type question struct {
 	from netip.AddrPort
 	put  time.Time
+	kind parcel.Kind // of the parcel that gave rise to it
 }
 
 // Table is the table of one host's flows. It is not safe for concurrent use.
 type Table struct {
 	started    time.Time
-	complete   bool // every flow that the host holds is in flows
+	beatEvery  time.Duration // interval of the host's reports
+	complete   bool          // every flow that the host holds is in flows
 	host       Report
 	registered bool
 	left       bool // the host of the last report has said farewell
@@ -114,11 +116,12 @@
 	evictions  uint64
 }
 
-// New returns the table of an agent that starts now; first tells that its host
-// can't have started before.
-func New(now time.Time, first bool) *Table {
+// New returns the table of an agent that starts now, whose host reports at the
+// given interval; first tells that the host can't have started before.
+func New(now time.Time, beatEvery time.Duration, first bool) *Table {
 	return &Table{
 		started:   now,
+		beatEvery: beatEvery,
 		complete:  first,
 		flows:     make(map[packet.Key]*flow),
 		questions: make(map[packet.Key]question),
@@ -197,7 +200,7 @@
 	if t.tellsByItself() || len(t.questions) >= maxOpenAsks {
 		return append(out, refusal(k, from, kind, parcel.NotHeld, raw))
 	}
-	t.questions[k] = question{from, now}
+	t.questions[k] = question{from, now, kind}
 	return append(out, Action{Verb: ToHost, Cause: Asked, Flow: k, Packet: raw})
 }
 
@@ -280,7 +283,7 @@
 	k := p.FromClient()
 	if q, ok := t.questions[k]; ok {
 		delete(t.questions, k)
-		return append(out, refusal(k, q.from, parcel.Deliver, parcel.NotHeld, raw))
+		return append(out, refusal(k, q.from, q.kind, parcel.NotHeld, raw))
 	}
 	f := t.flows[k]
 	switch {
--- a/internal/hostside/agent.go
+++ b/internal/hostside/agent.go
@@ -52,9 +52,10 @@
 	Host       netip.AddrPort // UDP and TCP address of the host
 	ClientPort uint16         // UDP port at which clients receive
 	Seeds      []netip.AddrPort
-	Service    string // of the host, as the platform assigned it
-	Secret     []byte // authenticates control messages
-	FirstStart bool   // no host can have started before the agent
+	Service    string        // of the host, as the platform assigned it
+	Secret     []byte        // authenticates control messages
+	BeatEvery  time.Duration // interval of the host's heartbeats
+	FirstStart bool          // no host can have started before the agent
 }
 
 // Registry is where daemons of one role note their addresses.
@@ -111,7 +112,7 @@
 		log:      &log.Logger{Level: log.PanicLevel},
 		metrics:  metrics.NewSet(),
 		checks:   make(chan struct{}, 1),
-		flows:    flowtable.New(now, cfg.FirstStart),
+		flows:    flowtable.New(now, cfg.BeatEvery, cfg.FirstStart),
 	}
 	for _, o := range opts {
 		o(a)
--- a/internal/steering/lookup.go
+++ b/internal/steering/lookup.go
@@ -67,7 +67,7 @@
 func (t *Table) question(k packet.Key, f *flow, agent netip.AddrPort) Action {
 	x := Action{Verb: Send, Cause: LookedUp, Flow: k, Agent: agent, Kind: parcel.Ask, ClientAck: f.ack}
 	if contains(f.lookup.unsure, agent) {
-		x.Packet = f.lookup.held[0]
+		x.Packet = slices.MinFunc(f.lookup.held, func(a, b []byte) int { return len(a) - len(b) })
 	}
 	return x
 }
