--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -45,12 +45,12 @@
 	From        roster.Member    `cbor:"2,keyasint"`
 	Members     []roster.Member  `cbor:"3,keyasint,omitempty"`
 	Generations []Generation     `cbor:"4,keyasint,omitempty"`
-	Digest      uint64           `cbor:"5,keyasint,omitempty"` // hash over the sender's members
+	Digest      uint64           `cbor:"5,keyasint,omitempty"` // hash over the sender's members; in heartbeats, over the agent's observers
 	Buckets     []uint64         `cbor:"6,keyasint,omitempty"`
 	Config      uint64           `cbor:"7,keyasint,omitempty"` // hash over the sender's generations
 	Bucket      int              `cbor:"14,keyasint,omitempty"`
 	Hashes      []uint64         `cbor:"15,keyasint,omitempty"` // of the sender's records in Bucket
-	Count       int              `cbor:"16,keyasint,omitempty"` // number of the sender's members; of an agent's observers in its heartbeats
+	Count       int              `cbor:"16,keyasint,omitempty"` // number of the sender's members
 	Reply       bool             `cbor:"8,keyasint,omitempty"`  // asks for no answer of its own
 	Unknown     bool             `cbor:"9,keyasint,omitempty"`  // the sender wants an answer: the receiver's record or, from an agent, an Ack
 	Loads       []Load           `cbor:"10,keyasint,omitempty"`
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -123,7 +123,11 @@
 }
 
 func (a *Agent) heartbeat(ask bool) *control.Message {
-	return &control.Message{Kind: control.Heartbeat, From: a.me, Unknown: ask, Count: len(a.observers)}
+	m := &control.Message{Kind: control.Heartbeat, From: a.me, Unknown: ask}
+	for i := range a.observers {
+		m.Digest ^= addrHash(a.observers[i].addr)
+	}
+	return m
 }
 
 // Receive takes a balancer's answer and returns what it gives rise to.
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -1,11 +1,14 @@
 package membership
 
 import (
+	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
 	"skylarkturn/internal/control"
 	"skylarkturn/internal/roster"
 )
@@ -217,7 +220,7 @@
 	known, _ := b.members.Get(m.From.Addr)
 	observers := b.members.Observers(m.From.Service, Timing.Observers)
 	current := known.Incarnation == m.From.Incarnation && known.State == m.From.State
-	if current && !m.Unknown && m.Count == len(observers) {
+	if current && !m.Unknown && m.Digest == observersDigest(observers) {
 		return nil
 	}
 	ack := b.message(control.Ack, nil)
@@ -320,6 +323,23 @@
 	return b.tell(now, maxPeers, []roster.Member{b.me})
 }
 
+// observersDigest returns a hash of a set of observers, by which agents and
+// balancers find that they know different ones.
+func observersDigest(observers []roster.Member) (d uint64) {
+	for i := range observers {
+		d ^= addrHash(observers[i].Addr)
+	}
+	return d
+}
+
+func addrHash(a netip.AddrPort) uint64 {
+	var b [6]byte
+	a4 := a.Addr().As4()
+	copy(b[:], a4[:])
+	binary.BigEndian.PutUint16(b[4:], a.Port())
+	return xxh3.Hash(b[:])
+}
+
 func addSeeds(seeds []netip.AddrPort, self netip.AddrPort, more []netip.AddrPort) []netip.AddrPort {
 	for _, a := range more {
 		if a != self && !slices.Contains(seeds, a) {
