Send questions about flows in batches, bounded a tick and repeated ever more rarely

Cause: a balancer behind a 14 Mbit/s link asked 24,000 to 45,000 times a second about 500 lost flows, each repeated every 0.7 s at most, which filled its link both ways: no answer and no heartbeat came through (counters of one balancer, a second apart), so live agents were taken for gone. Ruled out: processor time (the same without it). TestQuestionsStayBoundedWhenNobodyAnswers.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -37,6 +37,10 @@
 
 // Parcel takes an agent's answer.
 func (b *Balancer) Parcel(from netip.AddrPort, h *parcel.Header, content []byte) {
+	if h.Kind == parcel.AnswerMany {
+		b.answers(from, content)
+		return
+	}
 	if h.Kind != parcel.Owned && h.Kind != parcel.Refused {
 		b.counters.forged.Inc()
 		return
@@ -59,14 +63,38 @@
 	b.act(out)
 }
 
-// Carries out actions.
+// Takes an agent's answers to many questions.
+func (b *Balancer) answers(from netip.AddrPort, content []byte) {
+	answers, err := parcel.DecodeAnswers(content)
+	if err != nil {
+		b.counters.forged.Inc()
+		return
+	}
+	now := time.Now()
+	var out []steering.Action
+	b.mu.Lock()
+	for _, a := range answers {
+		h := a.Header()
+		out = b.steer.Answer(now, from, &h, nil, nil, out)
+		b.counters.refused[a.Reason].Inc()
+	}
+	b.mu.Unlock()
+	b.act(out)
+}
+
+// Carries out actions. Questions without packets go to each agent in one parcel.
 func (b *Balancer) act(actions []steering.Action) {
+	questions := make(map[netip.AddrPort][]parcel.Question)
 	for i := range actions {
 		a := &actions[i]
 		b.counters.actions[a.Verb][a.Cause].Inc()
 		switch a.Verb {
 		case steering.Send:
-			h := parcel.Header{Kind: a.Kind, Flow: a.Flow, Ack: a.ClientAck}
+			if a.Kind == parcel.Ask && a.Packet == nil {
+				questions[a.Agent] = append(questions[a.Agent], parcel.Question{Flow: a.Flow, Ack: a.ClientAck})
+				continue
+			}
+			h := parcel.Header{Kind: a.Kind, Flow: a.Flow}
 			if a.Service != "" {
 				h.Service = parcel.ServiceIDOf(a.Service)
 			}
@@ -78,6 +106,9 @@
 			b.logAction(a)
 		}
 	}
+	for agent, q := range questions {
+		b.inner.SendQuestions(agent, q)
+	}
 }
 
 func (b *Balancer) reset(a *steering.Action) {
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -70,8 +70,11 @@
 	case "client":
 		return r.fromClient(c)
 	case "ask": // ask b1 c1 [ack=N]
-		h := parcel.Header{Kind: parcel.Ask, Flow: packet.Key{Client: client(r.t, c.Arg(1)), Route: listen}, Ack: uint32(c.Int(r.t, "ack"))}
-		return r.show(r.table.Asked(r.balancer(c.Arg(0)), &h, nil))
+		a := r.table.Asked(parcel.Question{Flow: packet.Key{Client: client(r.t, c.Arg(1)), Route: listen}, Ack: uint32(c.Int(r.t, "ack"))})
+		if a.Reason == 0 {
+			return []string{"owned"}
+		}
+		return []string{"refused " + a.Reason.String()}
 	case "host":
 		return r.fromHost(c)
 	case "suspicious":
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -166,16 +166,16 @@
 	return out
 }
 
-// Asked answers a balancer that asks whether the host holds a flow.
-func (t *Table) Asked(from netip.AddrPort, h *parcel.Header, out []Action) []Action {
-	f := t.flows[h.Flow]
+// Asked answers the question whether the host holds a flow.
+func (t *Table) Asked(q parcel.Question) parcel.Answer {
+	f := t.flows[q.Flow]
 	switch {
 	case f == nil && !t.tellsByItself():
-		return append(out, refusal(h.Flow, from, parcel.Ask, parcel.Unsure, nil))
-	case f == nil || f.state == halfOpen && !f.accepts(h.Ack):
-		return append(out, refusal(h.Flow, from, parcel.Ask, parcel.NotHeld, nil))
+		return parcel.Answer{Flow: q.Flow, Reason: parcel.Unsure}
+	case f == nil || f.state == halfOpen && !f.accepts(q.Ack):
+		return parcel.Answer{Flow: q.Flow, Reason: parcel.NotHeld}
 	}
-	return append(out, owned(h.Flow, from))
+	return parcel.Answer{Flow: q.Flow}
 }
 
 // Reports whether a flow that is not in the table is not at the host either.
--- a/internal/hostside/forward.go
+++ b/internal/hostside/forward.go
@@ -21,11 +21,8 @@
 
 // Parcel takes a client's packet, or a question about a flow, from a balancer.
 func (a *Agent) Parcel(from netip.AddrPort, h *parcel.Header, content []byte) {
-	if h.Kind == parcel.Ask && len(content) == 0 {
-		a.mu.Lock()
-		out := a.flows.Asked(from, h, nil)
-		a.mu.Unlock()
-		a.act(out)
+	if h.Kind == parcel.AskMany {
+		a.questions(from, content)
 		return
 	}
 	p, err := a.platform.Format.Parse(content)
@@ -44,6 +41,22 @@
 	}
 }
 
+// Answers a balancer's questions about flows.
+func (a *Agent) questions(from netip.AddrPort, content []byte) {
+	questions, err := parcel.DecodeQuestions(content)
+	if err != nil {
+		a.counters.forged.Inc()
+		return
+	}
+	answers := make([]parcel.Answer, len(questions))
+	a.mu.Lock()
+	for i, q := range questions {
+		answers[i] = a.flows.Asked(q)
+	}
+	a.mu.Unlock()
+	a.inner.SendAnswers(from, answers)
+}
+
 // Decides on a datagram of the host; out is room for the actions.
 func (a *Agent) fromHost(raw []byte, out []flowtable.Action) []flowtable.Action {
 	p, err := a.platform.Format.Parse(raw)
--- a/internal/inner/socket.go
+++ b/internal/inner/socket.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"slices"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -135,6 +136,22 @@
 	s.send(to, parcel.Append(buf[:0], h, content))
 }
 
+// SendQuestions asks an agent about flows.
+func (s *Socket) SendQuestions(to netip.AddrPort, questions []parcel.Question) {
+	var buf [parcel.MaxLen]byte
+	for q := range slices.Chunk(questions, parcel.MaxQuestions) {
+		s.send(to, parcel.AppendQuestions(buf[:0], q))
+	}
+}
+
+// SendAnswers answers a balancer's questions.
+func (s *Socket) SendAnswers(to netip.AddrPort, answers []parcel.Answer) {
+	var buf [parcel.MaxLen]byte
+	for a := range slices.Chunk(answers, parcel.MaxQuestions) {
+		s.send(to, parcel.AppendAnswers(buf[:0], a))
+	}
+}
+
 // A datagram that can't be sent is lost, as any datagram may be.
 func (s *Socket) send(to netip.AddrPort, b []byte) {
 	if _, err := s.conn.WriteToUDPAddrPort(b, to); err != nil {
--- a/internal/parcel/parcel.go
+++ b/internal/parcel/parcel.go
@@ -18,10 +18,12 @@
 
 // Kinds of parcels.
 const (
-	Deliver Kind = iota + 1 // balancer to agent: a packet for a flow of the agent's host
-	Ask                     // balancer to agent: whether the host holds a flow, with or without a packet of it
-	Owned                   // agent to balancer: the host holds the flow, or has accepted it
-	Refused                 // agent to balancer: the packet was not given to the host, or came back
+	Deliver    Kind = iota + 1 // balancer to agent: a packet for a flow of the agent's host
+	Ask                        // balancer to agent: the same, and an answer is wanted in any case
+	Owned                      // agent to balancer: the host holds the flow, or has accepted it
+	Refused                    // agent to balancer: the packet was not given to the host, or came back
+	AskMany                    // balancer to agent: whether the host holds flows
+	AnswerMany                 // agent to balancer: the answers to AskMany
 )
 
 // Reason tells why an agent refused a packet.
@@ -62,11 +64,10 @@
 	Reason  Reason    // of a Refused parcel
 	Service ServiceID // that the packet was placed for; zero for a packet of an open flow
 	Flow    packet.Key
-	Ack     uint32 // the client's last acknowledgement number, of an Ask without a packet
 }
 
 // HeaderLen is the length in bytes of an encoded Header.
-const HeaderLen = 3 + 8 + packet.KeyLen + 4
+const HeaderLen = 3 + 8 + packet.KeyLen
 
 // MaxLen is the size in bytes of the largest parcel.
 const MaxLen = HeaderLen + packet.MaxLen
@@ -92,7 +93,6 @@
 	b = append(b, Magic, byte(h.Kind), byte(h.Reason))
 	b = binary.BigEndian.AppendUint64(b, uint64(h.Service))
 	b = h.Flow.Append(b)
-	b = binary.BigEndian.AppendUint32(b, h.Ack)
 	return append(b, content...)
 }
 
@@ -105,7 +105,7 @@
 		return h, nil, &Error{"decode", KindFormat, fmt.Errorf("%d bytes are no parcel", len(b))}
 	}
 	h.Kind, h.Reason = Kind(b[1]), Reason(b[2])
-	if h.Kind < Deliver || h.Kind > Refused {
+	if h.Kind < Deliver || h.Kind > AnswerMany {
 		return h, nil, &Error{"decode", KindFormat, fmt.Errorf("kind %d is unknown", h.Kind)}
 	}
 	if int(h.Reason) >= Reasons {
@@ -113,6 +113,79 @@
 	}
 	h.Service = ServiceID(binary.BigEndian.Uint64(b[3:]))
 	h.Flow = packet.DecodeKey(b[11:])
-	h.Ack = binary.BigEndian.Uint32(b[11+packet.KeyLen:])
 	return h, b[HeaderLen:], nil
 }
+
+// Question asks whether an agent's host holds a flow.
+type Question struct {
+	Flow packet.Key
+	Ack  uint32 // the client's last acknowledgement number
+}
+
+// Answer answers a Question; its reason is zero when the host holds the flow.
+type Answer struct {
+	Flow   packet.Key
+	Reason Reason
+}
+
+const (
+	questionLen = packet.KeyLen + 4
+	answerLen   = packet.KeyLen + 1
+)
+
+// MaxQuestions is the number of questions in one parcel.
+const MaxQuestions = packet.MaxLen / questionLen
+
+// AppendQuestions appends an AskMany parcel of up to MaxQuestions to b.
+func AppendQuestions(b []byte, questions []Question) []byte {
+	b = Append(b, Header{Kind: AskMany}, nil)
+	for _, q := range questions {
+		b = binary.BigEndian.AppendUint32(q.Flow.Append(b), q.Ack)
+	}
+	return b
+}
+
+// DecodeQuestions reads the content of an AskMany parcel.
+func DecodeQuestions(content []byte) ([]Question, error) {
+	if len(content)%questionLen != 0 {
+		return nil, &Error{"decode questions", KindFormat, fmt.Errorf("%d bytes are no whole number of questions", len(content))}
+	}
+	questions := make([]Question, 0, len(content)/questionLen)
+	for ; len(content) > 0; content = content[questionLen:] {
+		questions = append(questions, Question{packet.DecodeKey(content), binary.BigEndian.Uint32(content[packet.KeyLen:])})
+	}
+	return questions, nil
+}
+
+// AppendAnswers appends an AnswerMany parcel of up to MaxQuestions answers to b.
+func AppendAnswers(b []byte, answers []Answer) []byte {
+	b = Append(b, Header{Kind: AnswerMany}, nil)
+	for _, a := range answers {
+		b = append(a.Flow.Append(b), byte(a.Reason))
+	}
+	return b
+}
+
+// DecodeAnswers reads the content of an AnswerMany parcel.
+func DecodeAnswers(content []byte) ([]Answer, error) {
+	if len(content)%answerLen != 0 {
+		return nil, &Error{"decode answers", KindFormat, fmt.Errorf("%d bytes are no whole number of answers", len(content))}
+	}
+	answers := make([]Answer, 0, len(content)/answerLen)
+	for ; len(content) > 0; content = content[answerLen:] {
+		reason := Reason(content[packet.KeyLen])
+		if int(reason) >= Reasons {
+			return nil, &Error{"decode answers", KindFormat, fmt.Errorf("reason %d is unknown", reason)}
+		}
+		answers = append(answers, Answer{packet.DecodeKey(content), reason})
+	}
+	return answers, nil
+}
+
+// Header returns the header of the same answer in a parcel of its own.
+func (a Answer) Header() Header {
+	if a.Reason == 0 {
+		return Header{Kind: Owned, Flow: a.Flow}
+	}
+	return Header{Kind: Refused, Reason: a.Reason, Flow: a.Flow}
+}
--- a/internal/parcel/parcel_test.go
+++ b/internal/parcel/parcel_test.go
@@ -10,7 +10,7 @@
 
 var header = Header{
 	Kind: Refused, Reason: Draining, Service: ServiceIDOf("bookdesk"),
-	Flow: packet.Key{Client: packet.Endpoint{IP: 1, Port: 2}, Route: packet.Endpoint{IP: 3, Port: 4}}, Ack: 5,
+	Flow: packet.Key{Client: packet.Endpoint{IP: 1, Port: 2}, Route: packet.Endpoint{IP: 3, Port: 4}},
 }
 
 func TestDecodeGivesWhatWasAppended(t *testing.T) {
@@ -51,3 +51,43 @@
 		}
 	})
 }
+
+func TestQuestionsAndAnswers(t *testing.T) {
+	q := []Question{{header.Flow, 7}, {packet.Key{Client: packet.Endpoint{IP: 9}}, 8}}
+	h, content, err := Decode(AppendQuestions(nil, q))
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.Equals(h.Kind, AskMany))
+	gotQ, err := DecodeQuestions(content)
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.DeepEquals(gotQ, q))
+
+	a := []Answer{{header.Flow, 0}, {header.Flow, NotHeld}}
+	h, content, err = Decode(AppendAnswers(nil, a))
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.Equals(h.Kind, AnswerMany))
+	gotA, err := DecodeAnswers(content)
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.DeepEquals(gotA, a))
+	qt.Check(t, qt.Equals(gotA[0].Header().Kind, Owned))
+	qt.Check(t, qt.Equals(gotA[1].Header().Kind, Refused))
+
+	_, err = DecodeQuestions(make([]byte, questionLen+1))
+	qt.Check(t, qt.IsNotNil(err))
+	_, err = DecodeAnswers(make([]byte, answerLen-1))
+	qt.Check(t, qt.IsNotNil(err))
+	content[packet.KeyLen] = 99
+	_, err = DecodeAnswers(content)
+	qt.Check(t, qt.IsNotNil(err))
+}
+
+func FuzzDecodeMany(f *testing.F) {
+	f.Add(make([]byte, 2*questionLen))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if q, err := DecodeQuestions(b); err == nil && string(AppendQuestions(nil, q)[HeaderLen:]) != string(b) {
+			t.Fatalf("%x is not what %+v encodes to", b, q)
+		}
+		if a, err := DecodeAnswers(b); err == nil && string(AppendAnswers(nil, a)[HeaderLen:]) != string(b) {
+			t.Fatalf("%x is not what %+v encodes to", b, a)
+		}
+	})
+}
--- a/internal/steering/lookup.go
+++ b/internal/steering/lookup.go
@@ -10,24 +10,27 @@
 )
 
 // Looks for the owner of a flow: the targets that rank highest for the flow are
-// asked first, then all others. Agents that are known not to hold it are left
-// out.
+// asked at once, the others with the next ticks. Agents that are known not to
+// hold it are left out.
 func (t *Table) find(now time.Time, k packet.Key, f *flow, raw []byte, out []Action, refused ...netip.AddrPort) []Action {
-	l := f.lookup
-	if l != nil {
-		l.hold(raw)
+	if f.lookup != nil {
+		f.lookup.hold(raw)
 		return append(out, Action{Verb: Drop, Cause: Waiting, Flow: k})
 	}
 	if len(t.pending) >= maxPending {
 		return append(out, Action{Verb: Drop, Cause: Unsettled, Flow: k})
 	}
-	l = &lookup{started: now, refused: refused, again: askAgain}
+	l := &lookup{started: now, refused: refused, again: askAgain}
 	l.hold(raw)
 	f.lookup = l
 	t.pending[k] = f
-	l.waiting = slices.DeleteFunc(t.likely(k), func(a netip.AddrPort) bool { return contains(refused, a) })
+	first := t.likely(k)
+	if len(t.targets) <= smallFleet {
+		first = t.unasked(l, smallFleet)
+	}
+	l.waiting = slices.DeleteFunc(first, func(a netip.AddrPort) bool { return contains(refused, a) })
 	if len(l.waiting) == 0 {
-		return t.askRest(now, k, f, out)
+		return t.conclude(now, k, f, out)
 	}
 	return t.ask(now, k, f, l.waiting, out)
 }
@@ -53,9 +56,20 @@
 	return agents
 }
 
+// Returns up to n agents that have not been asked yet.
+func (t *Table) unasked(l *lookup, n int) (agents []netip.AddrPort) {
+	for a := range t.targets {
+		if !contains(l.waiting, a) && !contains(l.refused, a) {
+			agents = append(agents, a)
+		}
+	}
+	slices.SortFunc(agents, netip.AddrPort.Compare)
+	return agents[:min(n, len(agents))]
+}
+
 func (t *Table) ask(now time.Time, k packet.Key, f *flow, agents []netip.AddrPort, out []Action) []Action {
-	l := f.lookup
-	l.asked = now
+	f.lookup.asked = now
+	t.budget -= len(agents)
 	for _, a := range agents {
 		out = append(out, t.question(k, f, a))
 	}
@@ -72,33 +86,6 @@
 	return x
 }
 
-// Asks the agents that have not been asked yet.
-func (t *Table) askRest(now time.Time, k packet.Key, f *flow, out []Action) []Action {
-	l := f.lookup
-	if len(l.refused) >= maxRefused {
-		return out // too many to ask them all; the flow's end can't be certain
-	}
-	var rest []netip.AddrPort
-	for a := range t.targets {
-		if len(l.waiting)+len(rest) >= maxAsked {
-			break
-		}
-		if !contains(l.waiting, a) && !contains(l.refused, a) {
-			rest = append(rest, a)
-		}
-	}
-	slices.SortFunc(rest, netip.AddrPort.Compare)
-	l.wide, l.again = true, askAgain
-	l.waiting = append(l.waiting, rest...)
-	switch {
-	case len(l.waiting) == 0:
-		return t.conclude(now, k, f, out)
-	case len(rest) == 0:
-		return out
-	}
-	return t.ask(now, k, f, rest, out)
-}
-
 func (t *Table) refusedLookup(now time.Time, from netip.AddrPort, h *parcel.Header, f *flow, out []Action) []Action {
 	l, k := f.lookup, h.Flow
 	if l == nil || contains(l.refused, from) {
@@ -113,35 +100,41 @@
 	}
 	l.waiting = slices.DeleteFunc(l.waiting, func(a netip.AddrPort) bool { return a == from })
 	l.refused = append(l.refused, from)
-	if len(l.waiting) == 0 {
-		return t.askRest(now, k, f, out)
-	}
-	return out
+	return t.conclude(now, k, f, out)
 }
 
-// Goes on with a lookup that has waited for some time.
+// Goes on with a lookup at a tick. What a tick may ask is bounded, so that a
+// fleet in which many flows are lost at once does not fill slow links.
 func (t *Table) continueLookup(now time.Time, k packet.Key, f *flow, out []Action) []Action {
 	l := f.lookup
 	l.waiting = slices.DeleteFunc(l.waiting, func(a netip.AddrPort) bool { return t.targets[a] == nil })
-	switch {
-	case now.Sub(l.started) >= lookupFor:
+	if now.Sub(l.started) >= lookupFor {
 		f.lookup = nil
 		delete(t.pending, k)
-	case len(l.waiting) == 0:
-		return t.askRest(now, k, f, out)
-	case !l.wide && now.Sub(l.asked) >= waveAfter:
-		return t.askRest(now, k, f, out)
-	case now.Sub(l.asked) >= l.again:
-		l.again = min(2*l.again, longestAgain)
+		return out
+	}
+	if t.budget <= 0 {
+		return out
+	}
+	if len(l.waiting) == 0 || now.Sub(l.asked) >= waveAfter && !l.repeated {
+		if more := t.unasked(l, maxAsked-len(l.waiting)); len(more) > 0 && len(l.refused) < maxRefused {
+			l.waiting = append(l.waiting, more...)
+			return t.ask(now, k, f, more, out)
+		}
+	}
+	if len(l.waiting) > 0 && now.Sub(l.asked) >= l.again {
+		l.again *= 2 // an agent behind a slow link answers late
+		l.repeated = true
 		return t.ask(now, k, f, l.waiting, out)
 	}
-	return out
+	return t.conclude(now, k, f, out)
 }
 
-// Ends a lookup in which no agent held the flow. Until all members are known it
-// stays open, since the owner may be one of those that are not.
+// Ends a lookup in which every agent has refused the flow. Until all members are
+// known it stays open, since the owner may be one of those that are not.
 func (t *Table) conclude(now time.Time, k packet.Key, f *flow, out []Action) []Action {
-	if !t.settled || len(t.targets) == 0 {
+	l := f.lookup
+	if len(l.waiting) > 0 || !t.settled || len(t.targets) == 0 || len(t.unasked(l, 1)) > 0 {
 		return out
 	}
 	f.lookup = nil
--- a/internal/steering/script_test.go
+++ b/internal/steering/script_test.go
@@ -27,7 +27,7 @@
 }
 
 type runner struct {
-	t     *testing.T
+	t     testing.TB
 	table *Table
 	now   time.Time
 }
--- /dev/null
+++ b/internal/steering/storm_test.go
@@ -0,0 +1,95 @@
+package steering
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-quicktest/qt"
+
+	"skylarkturn/internal/packet"
+	"skylarkturn/internal/parcel"
+	"skylarkturn/internal/route"
+)
+
+// After a loss of power, hundreds of flows are looked up in a fleet whose answers
+// do not come through: the questions must not fill the link that the answers need.
+func TestQuestionsStayBoundedWhenNobodyAnswers(t *testing.T) {
+	const (
+		agents = 45
+		flows  = 500
+		tick   = 50 * time.Millisecond
+		length = 4 * time.Second
+		link   = 14_000_000 / 8 // bytes a second of the slowest link
+		perAsk = 16             // bytes of a question in a batch
+	)
+	r := runner{t: t, table: New(), now: time.Unix(1_800_000_000, 0)}
+	table, err := route.NewTable(route.Config{Version: 1, Routes: []route.Route{{
+		Name: "r1", Listen: r.listen("r1"), Shares: []route.Share{{Service: "bookdesk", Weight: 1}},
+	}}})
+	qt.Assert(t, qt.IsNil(err))
+	r.table.SetRoutes(table)
+	for i := range agents {
+		r.table.Put(r.now, Target{Agent: r.agent(fmt.Sprint("a", i+1)), Service: "bookdesk", Ready: true, Weight: 4}, true)
+	}
+	asked := 0
+	for i := range flows {
+		h, raw := r.packet("data", fmt.Sprint("c", i), 1)
+		asked += len(r.table.Packet(r.now, &h, raw, nil))
+	}
+	for end := r.now.Add(length); r.now.Before(end); r.now = r.now.Add(tick) {
+		asked += len(r.table.Tick(r.now, nil))
+	}
+	perSecond := asked * perAsk / int(length/time.Second)
+	t.Logf("%d questions, %d bytes a second", asked, perSecond)
+	qt.Check(t, qt.IsTrue(perSecond < link/4))
+}
+
+func BenchmarkPacketOfKnownFlow(b *testing.B) {
+	for _, agents := range []int{16, 1000} {
+		b.Run(fmt.Sprint(agents, " agents"), func(b *testing.B) {
+			r, now := fleet(b, agents)
+			h, raw := r.packet("syn", "c1", 0)
+			out := r.table.Packet(now, &h, raw, nil)
+			owned := parcel.Header{Kind: parcel.Owned, Flow: h.FromClient()}
+			r.table.Answer(now, out[0].Agent, &owned, nil, nil, nil)
+			h, raw = r.packet("data", "c1", 1)
+			b.ReportAllocs()
+			for b.Loop() {
+				out = r.table.Packet(now, &h, raw, out[:0])
+			}
+		})
+	}
+}
+
+func BenchmarkPlaceNewFlow(b *testing.B) {
+	for _, agents := range []int{16, 1000} {
+		b.Run(fmt.Sprint(agents, " agents"), func(b *testing.B) {
+			r, now := fleet(b, agents)
+			f := &flow{}
+			k := r.key("c1")
+			raw := []byte("syn")
+			var out []Action
+			b.ReportAllocs()
+			for b.Loop() {
+				k.Client.Port++
+				out = r.table.place(now, k, f, 0, raw, out[:0])
+			}
+		})
+	}
+}
+
+func fleet(b *testing.B, agents int) (runner, time.Time) {
+	r := runner{t: b, table: New(), now: time.Unix(1_800_000_000, 0)}
+	listen := packet.Endpoint{IP: 0xc6120001, Port: 1001}
+	table, err := route.NewTable(route.Config{Version: 1, Routes: []route.Route{{
+		Name: "r1", Listen: listen, Shares: []route.Share{{Service: "bookdesk", Weight: 1}},
+	}}})
+	qt.Assert(b, qt.IsNil(err))
+	r.table.SetRoutes(table)
+	for i := range agents {
+		a := packet.Endpoint{IP: 0x0a000000 + uint32(i), Port: 7400}.AddrPort()
+		r.table.Put(r.now, Target{Agent: a, Service: "bookdesk", Ready: true, Weight: 4}, true)
+	}
+	return r, r.now
+}
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -17,9 +17,10 @@
 	maxPending   = 4096             // flows that wait for their owner or for a target
 	maxAsked     = 64               // agents asked for the owner of one flow at a time
 	maxRefused   = 512              // agents asked in all
+	smallFleet   = 16               // agents that are all asked at once
+	asksPerTick  = 1000             // questions of lookups in a tick; some 16 KB in batches
 	waveAfter    = 60 * time.Millisecond
 	askAgain     = 180 * time.Millisecond  // shorter than a client's first retransmission
-	longestAgain = 720 * time.Millisecond  // each repetition waits twice as long, so that slow links recover
 	lookupFor    = 4 * time.Second         // after which a lookup without result is given up
 	openingFor   = 1400 * time.Millisecond // after which a client gives up opening a flow
 	lostFor      = 2 * time.Second         // time that later packets of a lost flow are answered by resets
@@ -100,14 +101,14 @@
 }
 
 type lookup struct {
-	waiting []netip.AddrPort // agents that have not answered
-	refused []netip.AddrPort // agents that do not hold the flow
-	unsure  []netip.AddrPort // agents whose host alone can tell, by a packet
-	held    [][]byte         // packets, the oldest first
-	wide    bool             // all agents have been asked
-	started time.Time
-	asked   time.Time     // when the last questions were sent
-	again   time.Duration // until they are repeated
+	waiting  []netip.AddrPort // agents that have not answered
+	refused  []netip.AddrPort // agents that do not hold the flow
+	unsure   []netip.AddrPort // agents whose host alone can tell, by a packet
+	held     [][]byte         // packets, the oldest first
+	repeated bool             // questions have been repeated
+	started  time.Time
+	asked    time.Time     // when the last questions were sent
+	again    time.Duration // until they are repeated
 }
 
 // Table is what a balancer knows of flows and targets. It is not safe for
@@ -119,6 +120,7 @@
 	flows     map[packet.Key]*flow
 	pending   map[packet.Key]*flow // with a lookup or a parked packet
 	settled   bool
+	budget    int // questions that this tick may still ask
 	evictions uint64
 }
 
@@ -403,6 +405,7 @@
 // Tick continues lookups that wait for answers and forgets flows that are not
 // used.
 func (t *Table) Tick(now time.Time, out []Action) []Action {
+	t.budget = asksPerTick
 	for k, f := range t.pending {
 		if f.parked != nil {
 			out = t.unpark(now, k, f, out)
