--- a/internal/steering/lookup.go
+++ b/internal/steering/lookup.go
@@ -49,7 +49,7 @@
 	}
 	hash := k.Hash()
 	service, _ := r.Service(hash)
-	ranked := rank(hash, t.services[service], func(n *target) bool { return true })
+	ranked := t.services[service].rank(hash, func(n *target) bool { return true })
 	for _, n := range ranked.targets[:ranked.n] {
 		agents = append(agents, n.Agent)
 	}
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -116,7 +116,7 @@
 type Table struct {
 	routes    *route.Table
 	targets   map[netip.AddrPort]*target
-	services  map[string][]*target // in order of agents
+	services  map[string]*group
 	flows     map[packet.Key]*flow
 	pending   map[packet.Key]*flow // with a lookup or a parked packet
 	settled   bool
@@ -128,7 +128,7 @@
 func New() *Table {
 	return &Table{
 		targets:  make(map[netip.AddrPort]*target),
-		services: make(map[string][]*target),
+		services: make(map[string]*group),
 		flows:    make(map[packet.Key]*flow),
 		pending:  make(map[packet.Key]*flow),
 	}
@@ -179,7 +179,10 @@
 		old.placed, old.refusing = 0, false
 	}
 	if relist {
-		t.services[n.Service] = append(t.services[n.Service], old)
+		if t.services[n.Service] == nil {
+			t.services[n.Service] = &group{}
+		}
+		t.services[n.Service].add(old)
 	}
 	return before != n
 }
@@ -213,12 +216,10 @@
 }
 
 func (t *Table) unlist(old *target) {
-	list := slices.DeleteFunc(t.services[old.Service], func(o *target) bool { return o == old })
-	if len(list) == 0 {
+	g := t.services[old.Service]
+	if g.remove(old); len(g.targets) == 0 {
 		delete(t.services, old.Service)
-		return
 	}
-	t.services[old.Service] = list
 }
 
 // Packet decides on a packet of a client; raw is the packet, which the actions
@@ -293,7 +294,7 @@
 	if !ok {
 		return append(out, Action{Verb: Reset, Cause: NoTarget, Flow: k, ClientAck: clientAck})
 	}
-	ranked := rank(hash, t.services[service], func(n *target) bool { return n.open() && !contains(f.tried, n.Agent) })
+	ranked := t.services[service].rank(hash, func(n *target) bool { return n.open() && !contains(f.tried, n.Agent) })
 	best := ranked.lightest()
 	if best == nil {
 		return append(out, t.unplaced(now, k, f, service, clientAck, raw))
@@ -310,7 +311,8 @@
 // Decides on a new flow that no target takes: it waits where one may take it
 // soon, and is refused at once where none will.
 func (t *Table) unplaced(now time.Time, k packet.Key, f *flow, service string, clientAck uint32, raw []byte) Action {
-	coming := slices.ContainsFunc(t.services[service], func(n *target) bool { return n.coming(now) })
+	g := t.services[service]
+	coming := g != nil && slices.ContainsFunc(g.targets, func(n *target) bool { return n.coming(now) })
 	switch {
 	case coming:
 	case len(f.tried) > 0:
--- a/internal/steering/target.go
+++ b/internal/steering/target.go
@@ -83,11 +83,36 @@
 	r.targets[i], r.scores[i] = t, score
 }
 
+// group holds the targets of a service, and their hashes side by side, since a
+// ranking reads all of them.
+type group struct {
+	targets []*target
+	hashes  []uint64
+}
+
+func (g *group) add(t *target) {
+	g.targets = append(g.targets, t)
+	g.hashes = append(g.hashes, t.hash)
+}
+
+func (g *group) remove(t *target) {
+	i := slices.Index(g.targets, t)
+	if i >= 0 {
+		g.targets = slices.Delete(g.targets, i, i+1)
+		g.hashes = slices.Delete(g.hashes, i, i+1)
+	}
+}
+
 // Ranks the targets for which keep is true.
-func rank(hash uint64, targets []*target, keep func(*target) bool) (r ranking) {
-	for _, t := range targets {
-		if keep(t) {
-			r.add(t, mix(bits.RotateLeft64(hash, 32)^t.hash))
+func (g *group) rank(hash uint64, keep func(*target) bool) (r ranking) {
+	if g == nil {
+		return r
+	}
+	hash = bits.RotateLeft64(hash, 32)
+	for i, h := range g.hashes {
+		score := mix(hash ^ h)
+		if score > r.scores[choices-1] && keep(g.targets[i]) {
+			r.add(g.targets[i], score)
 		}
 	}
 	return r
