Explain failures afterwards: bounded log lines, a ring of decisions, walks as tests

Lines about flows keep to a budget a second and go to a buffer that drops; the metrics address serves the recent decisions about one flow. Three walks of OPERATIONS.md are played with real processes.

--- a/cmd/skylark-agent/main.go
+++ b/cmd/skylark-agent/main.go
@@ -1,5 +1,3 @@
-// Command skylark-agent is the daemon beside a target: it ends callers' sessions
-// and admits their requests to its host.
 package main
 
 import (
--- a/cmd/skylark-balancer/main.go
+++ b/cmd/skylark-balancer/main.go
@@ -1,5 +1,3 @@
-// Command skylark-balancer is the daemon of an entry VM: it routes datagrams of
-// callers to agents and serves the administration API.
 package main
 
 import (
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -40,6 +40,8 @@
 		return nil
 	}
 	b.steer.SetRoutes(table)
+	b.version.Store(cfg.Version)
+	b.taken = time.Now()
 	b.members.SetVersion(cfg.Version)
 	out := b.members.Gossip(time.Now())
 	b.mu.Unlock()
@@ -158,6 +160,7 @@
 func (b *Balancer) opsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /config", b.serveConfig)
+	mux.Handle("GET /debug/flows", b.ring)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
 		b.metrics.WritePrometheus(w)
 	})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,6 +24,7 @@
 	"skylarkturn/internal/roster"
 	"skylarkturn/internal/route"
 	"skylarkturn/internal/steering"
+	"skylarkturn/internal/trace"
 )
 
 // KindNetwork is the kind of errors of sockets and peers.
@@ -93,16 +94,20 @@
 	servers []server
 	peers   *http.Client
 
+	ring     *trace.Ring
+	lines    *trace.Budget
 	stopping atomic.Bool
-	lastIn   atomic.Int64 // Unix nanoseconds of the last packet of a client
+	version  atomic.Uint64 // of the configuration in force
+	lastIn   atomic.Int64  // Unix nanoseconds of the last packet of a client
 	newer    chan struct{}
 
 	mu       sync.Mutex // guards what follows
 	steer    *steering.Table
 	members  *membership.Balancer
-	synced   uint64 // version of the members that steer has
-	settled  bool   // whether all members are known
-	isolated bool   // whether no agent is heard any more
+	taken    time.Time // when the configuration in force was taken
+	synced   uint64    // version of the members that steer has
+	settled  bool      // whether all members are known
+	isolated bool      // whether no agent is heard any more
 }
 
 type server struct {
@@ -116,6 +121,11 @@
 // WithLogger sets the logger; without it nothing is logged.
 func WithLogger(l *log.Logger) Option { return func(b *Balancer) { b.log = l } }
 
+const (
+	ringSize       = 8192 // decisions; some minutes of a balancer's new flows in 1 MB
+	linesPerSecond = 100  // about flows; some 25 KB/s of log
+)
+
 // New opens the sockets of a balancer.
 func New(cfg Settings, p Platform, opts ...Option) (*Balancer, error) {
 	now := time.Now()
@@ -128,6 +138,8 @@
 		peers:    newPeerClient(),
 		newer:    make(chan struct{}, 1),
 		steer:    steering.New(),
+		ring:     trace.NewRing(ringSize),
+		lines:    trace.NewBudget(linesPerSecond),
 	}
 	for _, o := range opts {
 		o(b)
@@ -140,6 +152,7 @@
 	me := roster.Member{Name: cfg.Name, Zone: cfg.Zone, Addr: b.inner.Addr(), Incarnation: uint64(now.UnixNano())}
 	source := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	b.members = membership.NewBalancer(now, me, cfg.Seeds, source)
+	b.addGauges()
 	return b, nil
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -9,6 +9,7 @@
 	"skylarkturn/internal/packet"
 	"skylarkturn/internal/parcel"
 	"skylarkturn/internal/steering"
+	"skylarkturn/internal/trace"
 )
 
 const maxClientDatagram = 2048 // bytes; packets are smaller
@@ -84,13 +85,20 @@
 
 // Carries out actions. Questions without packets go to each agent in one parcel.
 func (b *Balancer) act(actions []steering.Action) {
-	questions := make(map[netip.AddrPort][]parcel.Question)
+	if len(actions) == 0 {
+		return
+	}
+	now, version := time.Now(), b.version.Load()
+	var questions map[netip.AddrPort][]parcel.Question
 	for i := range actions {
 		a := &actions[i]
 		b.counters.actions[a.Verb][a.Cause].Inc()
 		switch a.Verb {
 		case steering.Send:
 			if a.Kind == parcel.Ask && a.Packet == nil {
+				if questions == nil {
+					questions = make(map[netip.AddrPort][]parcel.Question)
+				}
 				questions[a.Agent] = append(questions[a.Agent], parcel.Question{Flow: a.Flow, Ack: a.ClientAck})
 				continue
 			}
@@ -102,9 +110,7 @@
 		case steering.Reset:
 			b.reset(a)
 		}
-		if a.Verb != steering.Send || a.Cause == steering.PlacedAgain {
-			b.logAction(a)
-		}
+		b.note(a, now, version)
 	}
 	for agent, q := range questions {
 		b.inner.SendQuestions(agent, q)
@@ -120,16 +126,24 @@
 	}
 }
 
-func (b *Balancer) logAction(a *steering.Action) {
-	if a.Cause == steering.Waiting {
+var outcomes = [...]string{steering.Send: "send", steering.Reset: "reset", steering.Drop: "drop"}
+
+// Notes a decision in the ring, and in the log when it is not the usual one.
+func (b *Balancer) note(a *steering.Action, now time.Time, version uint64) {
+	if a.Cause == steering.Known || a.Cause == steering.Waiting {
 		return
 	}
-	e := b.log.Info().Str("event", "flow").Stringer("flow", a.Flow).Stringer("cause", a.Cause)
-	if a.Verb == steering.Reset {
-		e.Str("outcome", "reset")
-	}
+	d := trace.Decision{At: now, Flow: a.Flow, Outcome: outcomes[a.Verb], Cause: a.Cause.String(), Version: version}
 	if a.Agent.IsValid() {
-		e.Stringer("agent", a.Agent)
+		d.Peer = a.Agent.String()
+	}
+	b.ring.Add(d)
+	if a.Cause == steering.Placed || a.Cause == steering.LookedUp || !b.lines.Allow(now) {
+		return
+	}
+	e := b.log.Info().Str("event", "flow").Stringer("flow", a.Flow).Str("outcome", d.Outcome).Str("cause", d.Cause).Uint64("version", version)
+	if d.Peer != "" {
+		e.Str("agent", d.Peer)
 	}
 	e.Msg("")
 }
--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -68,6 +68,14 @@
 // registered or it has left.
 func (t *Table) Host() (r Report, ok bool) { return t.host, t.registered }
 
+// HeardAgo returns the time since the host's newest report, 0 before the first.
+func (t *Table) HeardAgo(now time.Time) time.Duration {
+	if t.heard.IsZero() {
+		return 0
+	}
+	return now.Sub(t.heard)
+}
+
 // Reported takes a host's heartbeat. A report of a new incarnation ends all
 // flows of the one before.
 func (t *Table) Reported(now time.Time, r Report, out []Action) (Verdict, []Action) {
--- a/internal/hostside/agent.go
+++ b/internal/hostside/agent.go
@@ -22,6 +22,7 @@
 	"skylarkturn/internal/ops"
 	"skylarkturn/internal/packet"
 	"skylarkturn/internal/roster"
+	"skylarkturn/internal/trace"
 )
 
 // KindNetwork is the kind of errors of sockets.
@@ -86,6 +87,8 @@
 	inner    *inner.Socket
 	servers  []server
 	checks   chan struct{}
+	ring     *trace.Ring
+	lines    *trace.Budget
 
 	mu      sync.Mutex // guards what follows
 	flows   *flowtable.Table
@@ -103,6 +106,11 @@
 // WithLogger sets the logger; without it nothing is logged.
 func WithLogger(l *log.Logger) Option { return func(a *Agent) { a.log = l } }
 
+const (
+	ringSize       = 2048 // decisions; a few minutes of a host's new flows
+	linesPerSecond = 50   // about flows
+)
+
 // New opens the sockets of an agent.
 func New(cfg Settings, p Platform, opts ...Option) (*Agent, error) {
 	now := time.Now()
@@ -112,6 +120,8 @@
 		log:      &log.Logger{Level: log.PanicLevel},
 		metrics:  metrics.NewSet(),
 		checks:   make(chan struct{}, 1),
+		ring:     trace.NewRing(ringSize),
+		lines:    trace.NewBudget(linesPerSecond),
 		flows:    flowtable.New(now, cfg.BeatEvery, cfg.FirstStart),
 	}
 	for _, o := range opts {
@@ -125,6 +135,7 @@
 	me := roster.Member{Name: cfg.Name, Zone: cfg.Zone, Addr: a.inner.Addr(), Incarnation: uint64(now.UnixNano())}
 	serve(&me, cfg.Service)
 	a.members = membership.NewAgent(now, me, cfg.Seeds)
+	a.addGauges()
 	return a, nil
 }
 
@@ -136,6 +147,7 @@
 		return err
 	}
 	mux := http.NewServeMux()
+	mux.Handle("GET /debug/flows", a.ring)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) { a.metrics.WritePrometheus(w) })
 	for _, s := range []struct {
 		addr netip.AddrPort
--- a/internal/hostside/counters.go
+++ b/internal/hostside/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -15,16 +16,32 @@
 	storeErrors  *metrics.Counter
 }
 
+// addGauges adds what is read when the metrics are.
+func (a *Agent) addGauges() {
+	gauge := func(name string, read func() float64) {
+		a.metrics.NewGauge(name, func() float64 {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return read()
+		})
+	}
+	gauge(`skylark_flows`, func() float64 { return float64(a.flows.Flows()) })
+	gauge(`skylark_flows_busy`, func() float64 { return float64(a.flows.Busy()) })
+	gauge(`skylark_flows_evicted`, func() float64 { return float64(a.flows.Evictions()) })
+	gauge(`skylark_host_heartbeat_age_seconds`, func() float64 { return a.flows.HeardAgo(time.Now()).Seconds() })
+	gauge(`skylark_observers`, func() float64 { return float64(a.members.Observers()) })
+	a.metrics.NewGauge(`skylark_log_lines_dropped`, func() float64 { return float64(a.lines.Dropped()) })
+}
+
 func newCounters(set *metrics.Set) counters {
 	c := counters{
 		forged:       set.NewCounter(`skylark_packets_forged_total`),
 		socketErrors: set.NewCounter(`skylark_host_socket_errors_total`),
 		storeErrors:  set.NewCounter(`skylark_store_errors_total`),
 	}
-	verbs := [...]string{flowtable.ToHost: "to_host", flowtable.ToClient: "to_client", flowtable.Reply: "reply", flowtable.Reset: "reset", flowtable.Drop: "drop"}
 	for verb := flowtable.ToHost; verb <= flowtable.Drop; verb++ {
 		for cause := range c.actions[verb] {
-			name := fmt.Sprintf(`skylark_packets_total{action=%q,cause=%q}`, verbs[verb], flowtable.Cause(cause))
+			name := fmt.Sprintf(`skylark_packets_total{action=%q,cause=%q}`, outcomes[verb], flowtable.Cause(cause))
 			c.actions[verb][cause] = set.NewCounter(name)
 		}
 	}
--- a/internal/hostside/forward.go
+++ b/internal/hostside/forward.go
@@ -11,6 +11,7 @@
 	"skylarkturn/internal/packet"
 	"skylarkturn/internal/parcel"
 	"skylarkturn/internal/roster"
+	"skylarkturn/internal/trace"
 )
 
 const (
@@ -77,6 +78,10 @@
 
 // Carries out actions.
 func (a *Agent) act(actions []flowtable.Action) {
+	if len(actions) == 0 {
+		return
+	}
+	now := time.Now()
 	for i := range actions {
 		x := &actions[i]
 		a.counters.actions[x.Verb][x.Cause].Inc()
@@ -91,9 +96,7 @@
 			var buf [packet.MaxLen]byte
 			a.send(a.platform.Format.AppendReset(buf[:0], x.Flow, x.ClientAck), a.clientAddr(x.Flow))
 		}
-		if x.Cause != flowtable.Usual {
-			a.logAction(x)
-		}
+		a.note(x, now)
 	}
 }
 
@@ -114,13 +117,30 @@
 	}
 }
 
-func (a *Agent) logAction(x *flowtable.Action) {
-	e := a.log.Info().Str("event", "flow").Stringer("flow", x.Flow).Stringer("cause", x.Cause)
-	switch x.Verb {
-	case flowtable.Reset:
-		e.Str("outcome", "reset")
-	case flowtable.Reply:
-		e.Str("outcome", "refused").Stringer("reason", x.Parcel.Reason).Stringer("balancer", x.Balancer)
+var outcomes = [...]string{flowtable.ToHost: "to_host", flowtable.ToClient: "to_client", flowtable.Reply: "reply", flowtable.Reset: "reset", flowtable.Drop: "drop"}
+
+// Notes a decision in the ring and in the log when it is not the usual one.
+func (a *Agent) note(x *flowtable.Action, now time.Time) {
+	reply := x.Verb == flowtable.Reply
+	if x.Cause == flowtable.Usual && !reply {
+		return
+	}
+	d := trace.Decision{At: now, Flow: x.Flow, Outcome: outcomes[x.Verb], Cause: x.Cause.String()}
+	if reply {
+		d.Peer = x.Balancer.String()
+		d.Outcome = "refuse"
+		d.Cause = x.Parcel.Reason.String()
+		if x.Parcel.Kind == parcel.Owned {
+			d.Outcome, d.Cause = "own", x.Cause.String()
+		}
+	}
+	a.ring.Add(d)
+	if x.Cause == flowtable.Usual || x.Cause == flowtable.Asked || x.Parcel.Reason == parcel.NotHeld || !a.lines.Allow(now) {
+		return
+	}
+	e := a.log.Info().Str("event", "flow").Stringer("flow", x.Flow).Str("outcome", d.Outcome).Str("cause", d.Cause)
+	if d.Peer != "" {
+		e.Str("balancer", d.Peer)
 	}
 	e.Msg("")
 }
--- /dev/null
+++ b/internal/platformstand/explain_test.go
@@ -0,0 +1,141 @@
+package platformstand
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-quicktest/qt"
+)
+
+// logBuffer collects what daemons print, through a file's worth of writes.
+type logBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+// lines returns the lines that have all of the words.
+func (b *logBuffer) lines(words ...string) (found []string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for line := range strings.SplitSeq(b.buf.String(), "\n") {
+		all := line != ""
+		for _, w := range words {
+			all = all && strings.Contains(line, w)
+		}
+		if all {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
+// await waits until a line has all of the words and returns the first.
+func (b *logBuffer) await(t *testing.T, words ...string) string {
+	t.Helper()
+	for range 500 {
+		if found := b.lines(words...); len(found) > 0 {
+			return found[0]
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatalf("no line has %q", words)
+	return ""
+}
+
+// Walks of docs/OPERATIONS.md: each starts from a user's flow and ends at the
+// cause, by the daemons' lines and what they serve alone.
+func explained(t *testing.T, hosts int) (*Site, *logBuffer) {
+	log := &logBuffer{}
+	s, err := NewSite(Options{Bin: build(t), Dir: t.TempDir(), Log: log, Seed: 1})
+	qt.Assert(t, qt.IsNil(err))
+	t.Cleanup(s.Close)
+	qt.Assert(t, qt.IsNil(s.Configure(map[string]string{"r0": "bookdesk"}, "r0")))
+	_, err = s.AddBalancer()
+	qt.Assert(t, qt.IsNil(err))
+	for range hosts {
+		_, err = s.AddHost("bookdesk")
+		qt.Assert(t, qt.IsNil(err))
+	}
+	qt.Assert(t, qt.IsNil(s.WaitReady(1, startWithin)))
+	log.await(t, `"event":"target"`, `"state":"ready"`)
+	return s, log
+}
+
+func flowOf(t *testing.T, line string) string {
+	t.Helper()
+	_, rest, ok := strings.Cut(line, `"flow":"`)
+	qt.Assert(t, qt.IsTrue(ok))
+	flow, _, _ := strings.Cut(rest, `"`)
+	return strings.ReplaceAll(flow, `\u003e`, ">")
+}
+
+// decisions returns what a daemon serves about a flow.
+func decisions(t *testing.T, s *Site, vm netip.Addr, flow string) string {
+	t.Helper()
+	at := netip.AddrPortFrom(vm, s.ports.inner+1)
+	resp, err := http.Get("http://" + at.String() + "/debug/flows?flow=" + url.QueryEscape(flow))
+	qt.Assert(t, qt.IsNil(err))
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	qt.Assert(t, qt.IsNil(err))
+	return string(body)
+}
+
+func TestExplainResetOfLostHost(t *testing.T) {
+	s, log := explained(t, 1)
+	qt.Assert(t, qt.IsNil(s.Clients(2)))
+	for n := 0; n < 5; _, n = s.Record.Share(time.Time{}) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	host := s.VMs(false)[0]
+	host.Host.Crash()
+	line := log.await(t, `"event":"flow"`, `"outcome":"reset"`, `"cause":"host_ended"`)
+	log.await(t, `"event":"host_checked"`, `"result":"absent"`)
+	served := decisions(t, s, host.Addr, flowOf(t, line))
+	qt.Check(t, qt.StringContains(served, `"outcome":"own"`))
+	qt.Check(t, qt.StringContains(served, `"outcome":"reset","cause":"host_ended"`))
+}
+
+func TestExplainRefusalOfFullService(t *testing.T) {
+	s, log := explained(t, 2)
+	for _, v := range s.VMs(false) {
+		v.Host.Fill()
+	}
+	qt.Assert(t, qt.IsNil(s.Clients(1)))
+	line := log.await(t, `"event":"flow"`, `"outcome":"reset"`, `"cause":"all_refused"`)
+	served := decisions(t, s, s.VMs(true)[0].Addr, flowOf(t, line))
+	qt.Check(t, qt.StringContains(served, `"outcome":"send","cause":"placed"`))
+	qt.Check(t, qt.StringContains(served, `"outcome":"send","cause":"placed_again"`))
+	log.await(t, `"outcome":"refuse"`, `"cause":"full"`, flowOf(t, line)[:12])
+}
+
+func TestExplainSilenceOfDarkVM(t *testing.T) {
+	s, log := explained(t, 2)
+	qt.Assert(t, qt.IsNil(s.Clients(4)))
+	for n := 0; n < 12; _, n = s.Record.Share(time.Time{}) {
+		time.Sleep(20 * time.Millisecond)
+	}
+	host := s.VMs(false)[0]
+	var frozen sync.WaitGroup
+	frozen.Go(func() { host.Freeze(3 * time.Second) })
+	line := log.await(t, `"event":"target"`, `"state":"suspect"`, host.Name)
+	qt.Check(t, qt.StringContains(line, host.Addr.String()))
+	line = log.await(t, `"event":"flow"`, `"outcome":"reset"`, `"cause":"owner_gone"`, host.Addr.String())
+	served := decisions(t, s, s.VMs(true)[0].Addr, flowOf(t, line))
+	qt.Check(t, qt.StringContains(served, `"outcome":"send","cause":"placed","peer":"`+host.Addr.String()))
+	frozen.Wait()
+	log.await(t, `"event":"target"`, `"state":"ready"`, host.Name)
+}
--- a/internal/platformstand/host.go
+++ b/internal/platformstand/host.go
@@ -41,6 +41,7 @@
 	flows    map[packet.Key]*hostFlow
 	draining time.Time // when the drain was acknowledged; zero while it was not
 	leaving  bool
+	full     bool // takes no new flow
 	ended    bool
 }
 
@@ -76,6 +77,13 @@
 	return h, nil
 }
 
+// Fill has the host return every packet that opens a flow.
+func (h *Host) Fill() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.full = true
+}
+
 // Crash ends the host without a word.
 func (h *Host) Crash() {
 	h.mu.Lock()
@@ -195,7 +203,7 @@
 	k := p.FromClient()
 	h.mu.Lock()
 	f := h.flows[k]
-	if f == nil && p.Opens() {
+	if f == nil && p.Opens() && !h.full {
 		sent, took := decodeOpening(data)
 		f = &hostFlow{seq: rand.Uint32(), sent: sent, took: took, answer: make(map[uint32][]byte)}
 		h.flows[k] = f
