--- a/internal/platformstand/site.go
+++ b/internal/platformstand/site.go
@@ -89,7 +89,6 @@
 		return nil, err
 	}
 	s.storeURL = httptest.NewServer(s.Store)
-	s.storeURL.Config.ErrorLog = nil
 	s.done.Go(func() { s.fabric.probe(ctx) })
 	return s, nil
 }
@@ -250,6 +249,7 @@
 		v.Remove()
 	}
 	s.done.Wait()
+	s.Store.Close()
 	s.storeURL.CloseClientConnections()
 	s.storeURL.Close()
 	_ = s.fabric.conn.Close() // nobody sends any more
--- a/internal/platformstand/store.go
+++ b/internal/platformstand/store.go
@@ -52,13 +52,17 @@
 	revision uint64
 	outage   Outage
 	calls    int
+	closed   chan struct{}
 }
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{changed: make(chan struct{}), objects: make(map[string]object), revision: 1}
+	return &Store{changed: make(chan struct{}), objects: make(map[string]object), revision: 1, closed: make(chan struct{})}
 }
 
+// Close ends the calls that wait.
+func (s *Store) Close() { close(s.closed) }
+
 // Fail makes the store fail from now on; Healthy ends that.
 func (s *Store) Fail(o Outage) {
 	s.mu.Lock()
@@ -118,7 +122,10 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case Silent:
-		<-r.Context().Done()
+		select {
+		case <-r.Context().Done():
+		case <-s.closed: // the end of a caller whose body was not read goes unnoticed
+		}
 		return
 	case Reset:
 		panic(http.ErrAbortHandler)
