Keep flows that opened at a restarted host before its first report

Cause: a report of a new incarnation ended every flow in the table. Ruled out: the balancers, the reset came from the agent. Now only flows older than the host can be are reset; packets of the others are returned by the host if they are not its own. Script flow_opened_before_the_first_report_of_its_host fails before.

--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -49,6 +49,14 @@
 // a loss of power has ended.
 const youngFor = 4 * time.Second
 
+// reportSlack is the delay that a report may have on its way.
+const reportSlack = 500 * time.Millisecond
+
+// Returns the age that the host can have at most by the number of its reports.
+func (t *Table) oldest(r Report) time.Duration {
+	return time.Duration(r.Seq)*t.beatEvery + reportSlack
+}
+
 // Reports whether the host is young by the number of its reports.
 func (t *Table) isYoung(r Report) bool { return time.Duration(r.Seq)*t.beatEvery <= youngFor }
 
@@ -76,8 +84,9 @@
 	return now.Sub(t.heard)
 }
 
-// Reported takes a host's heartbeat. A report of a new incarnation ends all
-// flows of the one before.
+// Reported takes a host's heartbeat. A report of a new incarnation ends the flows
+// that are older than it; younger ones may be its own, and it returns packets of
+// those that are not.
 func (t *Table) Reported(now time.Time, r Report, out []Action) (Verdict, []Action) {
 	old, known := t.host, t.host.ID != ""
 	same := known && old.ID == r.ID && old.Born == r.Born
@@ -101,7 +110,7 @@
 	t.silence = silence{}
 	if known {
 		t.retire(old)
-		out = t.endAll(HostRestarted, out)
+		out = t.endBefore(now.Add(-t.oldest(r)), HostRestarted, out)
 	}
 	if known || t.isYoung(r) {
 		t.complete = true // what the host holds has come through this process
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -81,7 +81,7 @@
 		return []string{fmt.Sprint(r.table.Suspicious(r.now))}
 	case "checked":
 		results := map[string]CheckResult{"unclear": HostUnclear, "listening": HostListening, "absent": HostAbsent}
-		return r.show(r.table.Checked(results[c.Arg(0)], c.Opts["service"], nil))
+		return r.show(r.table.Checked(r.now.Add(time.Nanosecond), results[c.Arg(0)], c.Opts["service"], nil))
 	case "counts":
 		return []string{fmt.Sprintf("flows=%d busy=%d complete=%v", r.table.Flows(), r.table.Busy(), r.table.Complete())}
 	}
--- a/internal/flowtable/silence.go
+++ b/internal/flowtable/silence.go
@@ -51,11 +51,11 @@
 // String returns the result in lower case.
 func (r CheckResult) String() string { return [...]string{"unclear", "listening", "absent"}[r%3] }
 
-// Checked takes the result of a connection attempt to the host. An absent host
-// has no flows any more. A host that takes connections but has never been heard
+// Checked takes the result of a connection attempt to the host that began at the
+// given time. An absent host has no flows of before any more. A host that takes connections but has never been heard
 // of by this process, which has started again beside it, counts as ready for the
 // service until its next heartbeat.
-func (t *Table) Checked(r CheckResult, service string, out []Action) []Action {
+func (t *Table) Checked(began time.Time, r CheckResult, service string, out []Action) []Action {
 	t.silence = silence{}
 	if r == HostListening && t.host.ID == "" && service != "" {
 		t.host, t.registered = Report{Service: service, State: HostReady, Slots: provisionalSlots}, true
@@ -68,5 +68,6 @@
 	for k, q := range t.questions {
 		out = append(out, refusal(k, q.from, parcel.Ask, parcel.NotHeld, nil))
 	}
-	return t.endAll(HostEnded, out)
+	clear(t.questions)
+	return t.endBefore(began, HostEnded, out)
 }
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -88,6 +88,7 @@
 	hostSeq   uint32 // of the host's acceptance
 	clientAck uint32
 	via       netip.AddrPort // balancer that sent the last packet
+	since     time.Time      // when it came into the table
 	used      time.Time
 }
 
@@ -336,15 +337,26 @@
 	}
 }
 
-// Resets all open flows.
+// Ends all flows and resets those that are open.
 func (t *Table) endAll(cause Cause, out []Action) []Action {
+	clear(t.questions)
+	return t.endBefore(farFuture, cause, out)
+}
+
+// farFuture is later than any time that a clock shows.
+var farFuture = time.Unix(1<<40, 0)
+
+// Ends the flows that are older than a time and resets those that are open.
+func (t *Table) endBefore(cutoff time.Time, cause Cause, out []Action) []Action {
 	for k, f := range t.flows {
+		if !f.since.Before(cutoff) {
+			continue
+		}
 		if f.state == open {
 			out = append(out, Action{Verb: Reset, Cause: cause, Flow: k, ClientAck: f.clientAck})
 		}
 		t.remove(k, f)
 	}
-	clear(t.questions)
 	return out
 }
 
@@ -360,7 +372,7 @@
 			break
 		}
 	}
-	f := &flow{used: now}
+	f := &flow{since: now, used: now}
 	t.flows[k] = f
 	t.live++
 	return f
--- a/internal/hostside/agent.go
+++ b/internal/hostside/agent.go
@@ -254,9 +254,10 @@
 			return nil
 		case <-a.checks:
 		}
+		began := time.Now()
 		result := a.connect(ctx)
 		a.mu.Lock()
-		out := a.flows.Checked(result, a.cfg.Service, nil)
+		out := a.flows.Checked(began, result, a.cfg.Service, nil)
 		messages := a.announce(time.Now())
 		a.mu.Unlock()
 		a.log.Info().Str("event", "host_checked").Stringer("result", result).Int("actions", len(out)).Msg("")
