Take departed agents out of the registry, and wait less for unheard ones

Ruled out: the form of the resets (the same bytes work at the other site). Not settled why the entry was there: the machine's process started once more with the others.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -233,6 +233,7 @@
 	g.Go(func() error { return b.followPeers(running) })
 	g.Go(func() error { return b.keepRegistered(running) })
 	g.Go(func() error { return b.learnAgents(running) })
+	g.Go(func() error { return b.forgetDeparted(running) })
 	for _, s := range b.servers {
 		g.Go(func() error { return ops.Serve(running, s.ln, s.h) })
 	}
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"time"
 
@@ -51,7 +52,8 @@
 	}
 	b.settled = settled
 	b.steer.SetSettled(settled)
-	b.log.Info().Str("event", "settled").Bool("settled", settled).Dur("age", now.Sub(b.started)).Int("targets", b.steer.TargetCount()).Msg("")
+	b.log.Info().Str("event", "settled").Bool("settled", settled).Dur("age", now.Sub(b.started)).Int("targets", b.steer.TargetCount()).
+		Str("unheard", fmt.Sprint(b.members.Unheard())).Msg("")
 }
 
 // Takes over what changed about members, and returns what that gives rise to;
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net/netip"
 	"time"
+
+	"skylarkturn/internal/platform"
 )
 
 const (
@@ -13,6 +15,7 @@
 	registerRetry = 500 * time.Millisecond
 	maxRegister   = 4 * time.Second
 	forgetTimeout = 300 * time.Millisecond
+	departedEvery = 500 * time.Millisecond // between looks for agents to take out of the registry
 )
 
 // Registers this balancer, and looks in the registry for others while none is
@@ -58,6 +61,27 @@
 	return nil
 }
 
+// Takes agents that have left for good out of the registry.
+func (b *Balancer) forgetDeparted(ctx context.Context) error {
+	for ctx.Err() == nil {
+		b.mu.Lock()
+		names := b.members.Departed()
+		b.mu.Unlock()
+		for _, name := range names {
+			err := b.platform.Agents.Forget(ctx, name)
+			if err != nil && !platform.IsKind(err, platform.KindNotFound) {
+				b.storeFailed(ctx, "forget agent", err)
+				break // the store is away; later again
+			}
+			b.mu.Lock()
+			b.members.Forgotten(name)
+			b.mu.Unlock()
+		}
+		sleep(ctx, departedEvery)
+	}
+	return nil
+}
+
 // Calls the store until it succeeds, at growing intervals.
 func (b *Balancer) persist(ctx context.Context, op string, call func() error) {
 	for retry := registerRetry; ctx.Err() == nil; retry = min(2*retry, maxRegister) {
@@ -80,9 +104,9 @@
 
 // Removes this balancer from the registry.
 func (b *Balancer) forget(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, forgetTimeout)
+	within, cancel := context.WithTimeout(ctx, forgetTimeout)
 	defer cancel()
-	if err := b.platform.Balancers.Forget(ctx, b.cfg.Name); err != nil {
+	if err := b.platform.Balancers.Forget(within, b.cfg.Name); err != nil {
 		b.storeFailed(ctx, "forget", err)
 	}
 }
--- a/internal/hostside/registry.go
+++ b/internal/hostside/registry.go
@@ -53,9 +53,9 @@
 
 // Removes the agent from the registry.
 func (a *Agent) forget(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, forgetTimeout)
+	within, cancel := context.WithTimeout(ctx, forgetTimeout)
 	defer cancel()
-	if err := a.platform.Agents.Forget(ctx, a.cfg.Name); err != nil {
+	if err := a.platform.Agents.Forget(within, a.cfg.Name); err != nil {
 		a.storeFailed(ctx, "forget", err)
 	}
 }
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -31,11 +32,12 @@
 	isolatedAfter     = 900 * time.Millisecond // without any agent's heartbeat; each sends one every beatEvery
 	startTick         = 50 * time.Millisecond  // until all members are known
 	bucketsPerRepair  = roster.BucketCount / 4
-	reintroduceEvery  = 2 * time.Second        // joins halves that lost each other
-	settleAfter       = 3 * time.Second        // agents send several heartbeats in this time
-	registryAfter     = 500 * time.Millisecond // an agent that could not register has been heard by then
-	expectFor         = 12 * time.Second       // time that agents in the registry are waited for; partitions may last as long
-	maxPeers          = 8                      // balancers that gossip goes to at a time
+	reintroduceEvery  = 2 * time.Second         // joins halves that lost each other
+	settleAfter       = 3 * time.Second         // agents send several heartbeats in this time
+	registryAfter     = 500 * time.Millisecond  // an agent that could not register has been heard by then
+	expectFor         = 12 * time.Second        // time that agents in the registry are waited for; partitions may last as long
+	unheardFor        = 1500 * time.Millisecond // the same where other balancers are heard: several heartbeats to each
+	maxPeers          = 8                       // balancers that gossip goes to at a time
 )
 
 // Timing judges members by heartbeats every 400 ms: two missed ones make an
@@ -60,8 +62,9 @@
 	introduced time.Time
 	repaired   time.Time
 	newest     Version
-	expected   map[netip.AddrPort]bool // agents of the registry that have not been heard
-	told       bool                    // whether the registry has been read
+	expected   map[netip.AddrPort]bool   // agents of the registry that have not been heard
+	forgotten  map[netip.AddrPort]uint64 // incarnations of agents that are out of the registry
+	told       bool                      // whether the registry has been read
 	settled    bool
 	peers      peerViews
 	heardAgent time.Time // last heartbeat of any agent
@@ -76,7 +79,7 @@
 // NewBalancer returns the membership of a balancer that starts now.
 func NewBalancer(now time.Time, me roster.Member, seeds []netip.AddrPort, source *rand.Rand) *Balancer {
 	me.Role, me.State, me.Seq = roster.Balancer, roster.Ready, 1
-	b := &Balancer{me: me, members: roster.New(Timing, source), started: now}
+	b := &Balancer{me: me, members: roster.New(Timing, source), started: now, forgotten: make(map[netip.AddrPort]uint64)}
 	b.members.Apply(now, me)
 	b.AddSeeds(seeds)
 	return b
@@ -129,8 +132,10 @@
 	switch {
 	case b.told && len(b.expected) == 0:
 		b.settled = age >= registryAfter || b.peers.unsettled && !b.peers.settled
-	case b.told:
+	case b.told && b.Alone():
 		b.settled = age >= expectFor
+	case b.told:
+		b.settled = age >= unheardFor
 	default:
 		b.settled = age >= settleAfter
 	}
@@ -143,6 +148,32 @@
 	return !b.heardAgent.IsZero() && now.Sub(b.heardAgent) >= isolatedAfter
 }
 
+// Unheard returns the agents of the registry that have not been heard of.
+func (b *Balancer) Unheard() []netip.AddrPort {
+	return slices.SortedFunc(maps.Keys(b.expected), netip.AddrPort.Compare)
+}
+
+// Departed returns the names of agents that have left for good and that this
+// balancer, as the first of their observers, is to take out of the registry: an
+// agent that ends may not get that done.
+func (b *Balancer) Departed() (names []string) {
+	left := b.members.Members(func(m *roster.Member) bool { return m.Role == roster.Agent && m.State == roster.Left })
+	for _, m := range left {
+		first := b.members.Observers(m.Service, Timing.Observers)
+		if len(first) > 0 && first[0].Addr == b.me.Addr && b.forgotten[m.Addr] != m.Incarnation {
+			names = append(names, m.Name)
+		}
+	}
+	return names
+}
+
+// Forgotten notes that an agent that has left is out of the registry.
+func (b *Balancer) Forgotten(name string) {
+	for _, m := range b.members.Members(func(m *roster.Member) bool { return m.Name == name && m.State == roster.Left }) {
+		b.forgotten[m.Addr] = m.Incarnation
+	}
+}
+
 // Tick returns the messages that are due.
 func (b *Balancer) Tick(now time.Time) []Outgoing {
 	if !b.Isolated(now) {
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -106,6 +106,12 @@
 		return []string{fmt.Sprintf("%d from %s", newest.Number, nameOf(newest.From))}
 	case "settled":
 		return []string{fmt.Sprint(n.balancers[c.Arg(0)].Settled(n.now))}
+	case "departed":
+		names := n.balancers[c.Arg(0)].Departed()
+		for _, name := range names {
+			n.balancers[c.Arg(0)].Forgotten(name)
+		}
+		return []string{fmt.Sprint(names)}
 	case "isolated":
 		return []string{fmt.Sprint(n.balancers[c.Arg(0)].Isolated(n.now))}
 	case "members":
