Register agents once they have a host

Cause: a machine whose host had left started once more with the loss of power, registered and fell silent; balancers waited for it.

--- a/internal/hostside/agent.go
+++ b/internal/hostside/agent.go
@@ -87,6 +87,8 @@
 	inner    *inner.Socket
 	servers  []server
 	checks   chan struct{}
+	hosted   chan struct{} // closed once the agent has had a host
+	hosting  sync.Once
 	ring     *trace.Ring
 	lines    *trace.Budget
 
@@ -120,6 +122,7 @@
 		log:      &log.Logger{Level: log.PanicLevel},
 		metrics:  metrics.NewSet(),
 		checks:   make(chan struct{}, 1),
+		hosted:   make(chan struct{}),
 		ring:     trace.NewRing(ringSize),
 		lines:    trace.NewBudget(linesPerSecond),
 		flows:    flowtable.New(now, cfg.BeatEvery, cfg.FirstStart),
@@ -189,7 +192,8 @@
 	g.Go(func() error { return a.readHost(running) })
 	g.Go(func() error { return a.inner.Read(running, a) })
 	g.Go(func() error { return a.keepTime(running) })
-	g.Go(func() error { return a.keepRegistered(running) })
+	g.Go(func() error { return a.register(running) })
+	g.Go(func() error { return a.seekBalancers(running) })
 	g.Go(func() error { return a.checkHost(running) })
 	for _, s := range a.servers {
 		g.Go(func() error { return ops.Serve(running, s.ln, s.h) })
--- a/internal/hostside/forward.go
+++ b/internal/hostside/forward.go
@@ -189,6 +189,9 @@
 // mu held.
 func (a *Agent) announce(now time.Time) []membership.Outgoing {
 	host, ok := a.flows.Host()
+	if ok {
+		a.hosting.Do(func() { close(a.hosted) })
+	}
 	return a.members.Update(now, func(me *roster.Member) {
 		me.State = roster.Starting
 		if ok {
--- a/internal/hostside/registry.go
+++ b/internal/hostside/registry.go
@@ -15,17 +15,27 @@
 	forgetTimeout = 300 * time.Millisecond
 )
 
-// Registers the agent, and looks in the registry for balancers while none
-// answers.
-func (a *Agent) keepRegistered(ctx context.Context) error {
+// Registers the agent once it has a host; before, it holds no flow that balancers
+// would have to wait for.
+func (a *Agent) register(ctx context.Context) error {
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-a.hosted:
+	}
 	for retry := registerRetry; ctx.Err() == nil; retry = min(2*retry, maxRegister) {
 		err := a.platform.Agents.Register(ctx, a.cfg.Name, a.inner.Addr())
 		if err == nil {
-			break
+			return nil
 		}
 		a.storeFailed(ctx, "register", err)
 		sleep(ctx, retry/2+rand.N(retry))
 	}
+	return nil
+}
+
+// Looks in the registry for balancers while none answers.
+func (a *Agent) seekBalancers(ctx context.Context) error {
 	sleep(ctx, seedsAfter)
 	for ctx.Err() == nil {
 		a.mu.Lock()
