--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -39,7 +39,6 @@
 	agents    map[string]*Agent
 	ticks     map[string]time.Time
 	inFlight  []Outgoing
-	from      []string
 	cuts      map[string]bool // pairs of names, both ways
 	bytes     int
 }
