Wait longer for agents that stop as planned beside a living host

Cause: an agent that was stopped and took more than 1.8 s to start again counted as gone, and balancers would have reset the flows of its living host.

--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -162,9 +162,9 @@
 // good, or to start again beside a host that lives.
 func (a *Agent) Farewell(now time.Time, forGood bool) []Outgoing {
 	a.me.Seq++
-	a.me.State = roster.Starting
+	a.me.State, a.me.Back = roster.Starting, true
 	if forGood {
-		a.me.State = roster.Left
+		a.me.State, a.me.Back = roster.Left, false
 	}
 	return a.beat(now)
 }
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -48,6 +48,7 @@
 	AdoptAfter:   2 * time.Second,
 	GoneAfter:    800 * time.Millisecond, // other balancers that hear it say so in half of that
 	ForgetAfter:  2 * time.Minute,
+	BackAfter:    5 * time.Second, // a stop may take the whole grace, and the start some time
 	Observers:    8,
 }
 
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -62,6 +62,7 @@
 	Host        string         `cbor:"12,keyasint,omitempty"` // VM that the target runs on
 	Serves      string         `cbor:"13,keyasint,omitempty"` // name of the service, where services have no numbers
 	Slots       uint32         `cbor:"14,keyasint,omitempty"` // requests that the target runs at a time
+	Back        bool           `cbor:"16,keyasint,omitempty"` // stopped as planned, to start again
 	Busy        uint32         `cbor:"15,keyasint,omitempty"` // requests in progress; in heartbeats only
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -21,6 +21,7 @@
 	AdoptAfter   time.Duration // grace for an agent whose observer this daemon has become
 	GoneAfter    time.Duration // time as suspect
 	ForgetAfter  time.Duration // time that a gone or left member is remembered
+	BackAfter    time.Duration // more time as suspect for a member that said it would be back
 	Observers    int           // balancers that observe a target; 0 is ObserverCount
 }
 
@@ -324,6 +325,8 @@
 	switch {
 	case e.member.State >= Gone:
 		return 0, age > r.timing.ForgetAfter
+	case e.member.State == Suspect && e.member.Back:
+		return Gone, age > r.timing.GoneAfter+r.timing.BackAfter
 	case e.member.State == Suspect:
 		return Gone, age > r.timing.GoneAfter
 	case !e.heard.IsZero():
