Give what both daemons of the platform path share one place

Servers to ops, calls about the registry to registry, waits and delays that grow to pace, the start from a watched settings file to daemon.

--- a/cmd/skylark-agent/platform.go
+++ b/cmd/skylark-agent/platform.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"net/http"
-	"os"
 
 	"github.com/phuslu/log"
 
@@ -13,16 +10,30 @@
 	"skylarkturn/platform"
 )
 
+// daemonOnPlatform reloads its seeds from the platform's settings file.
+type daemonOnPlatform struct {
+	*hostside.Agent
+	path string
+}
+
+// Reload takes over the seeds; addresses and ports stay as they were at the start.
+func (d daemonOnPlatform) Reload() error {
+	s, err := platform.ReadSettings(d.path)
+	if err != nil {
+		return err
+	}
+	d.AddSeeds(s.InnerSeeds())
+	return nil
+}
+
 // Runs the agent with the settings that the platform gives.
 func runOnPlatform(path string) int {
-	s, err := platform.ReadSettings(path)
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "skylark-agent: %v\n", err)
-		return daemon.ExitSettings
+	var s platform.Settings
+	read := func() (err error) {
+		s, err = platform.ReadSettings(path)
+		return err
 	}
-	l, w := daemon.OutputLogger()
-	defer w.Close()
-	return daemon.Run("skylark-agent", path, l, func(ctx context.Context, l *log.Logger) error {
+	return daemon.RunWatched("skylark-agent", path, read, func(l *log.Logger) (daemon.Watched, error) {
 		store := platform.NewStore(s.Store)
 		a, err := hostside.New(agentSettings(&s), hostside.Platform{
 			Balancers: store.BalancerRegistry(),
@@ -32,18 +43,9 @@
 			Hosts:     func(a *hostside.Agent) http.Handler { return platform.HeartbeatHandler(a) },
 		}, hostside.WithLogger(l))
 		if err != nil {
-			return err
-		}
-		watched := make(chan struct{})
-		go func() {
-			defer close(watched)
-			daemon.WatchFile(ctx, path, func() { reload(path, l, a) })
-		}()
-		err = a.Run(ctx)
-		if ctx.Err() != nil {
-			<-watched
+			return nil, err
 		}
-		return err
+		return daemonOnPlatform{a, path}, nil
 	})
 }
 
@@ -65,13 +67,3 @@
 		FirstStart: s.FirstStart,
 	}
 }
-
-func reload(path string, l *log.Logger, a *hostside.Agent) {
-	s, err := platform.ReadSettings(path)
-	if err != nil {
-		l.Warn().Str("event", "reload").Err(err).Msg("settings not reloaded, the ones in use stay")
-		return
-	}
-	a.AddSeeds(s.InnerSeeds())
-	l.Info().Str("event", "reload").Int("seeds", len(s.Seeds)).Msg("settings reloaded")
-}
--- a/cmd/skylark-balancer/platform.go
+++ b/cmd/skylark-balancer/platform.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"context"
-	"fmt"
 	"net/http"
-	"os"
 
 	"github.com/phuslu/log"
 
@@ -13,16 +10,30 @@
 	"skylarkturn/platform"
 )
 
+// daemonOnPlatform reloads its seeds from the platform's settings file.
+type daemonOnPlatform struct {
+	*entry.Balancer
+	path string
+}
+
+// Reload takes over the seeds; addresses and ports stay as they were at the start.
+func (d daemonOnPlatform) Reload() error {
+	s, err := platform.ReadSettings(d.path)
+	if err != nil {
+		return err
+	}
+	d.AddSeeds(s.InnerSeeds())
+	return nil
+}
+
 // Runs the balancer with the settings that the platform gives.
 func runOnPlatform(path string) int {
-	s, err := platform.ReadSettings(path)
-	if err != nil {
-		fmt.Fprintf(os.Stderr, "skylark-balancer: %v\n", err)
-		return daemon.ExitSettings
+	var s platform.Settings
+	read := func() (err error) {
+		s, err = platform.ReadSettings(path)
+		return err
 	}
-	l, w := daemon.OutputLogger()
-	defer w.Close()
-	return daemon.Run("skylark-balancer", path, l, func(ctx context.Context, l *log.Logger) error {
+	return daemon.RunWatched("skylark-balancer", path, read, func(l *log.Logger) (daemon.Watched, error) {
 		store := platform.NewStore(s.Store)
 		b, err := entry.New(entrySettings(&s), entry.Platform{
 			Store:     store,
@@ -33,18 +44,9 @@
 			Hosts:     http.NotFoundHandler(), // hosts report to the agent on their own VM
 		}, entry.WithLogger(l))
 		if err != nil {
-			return err
-		}
-		watched := make(chan struct{})
-		go func() {
-			defer close(watched)
-			daemon.WatchFile(ctx, path, func() { reload(path, l, b) })
-		}()
-		err = b.Run(ctx)
-		if ctx.Err() != nil {
-			<-watched
+			return nil, err
 		}
-		return err
+		return daemonOnPlatform{b, path}, nil
 	})
 }
 
@@ -62,13 +64,3 @@
 		Grace:      s.Grace,
 	}
 }
-
-func reload(path string, l *log.Logger, b *entry.Balancer) {
-	s, err := platform.ReadSettings(path)
-	if err != nil {
-		l.Warn().Str("event", "reload").Err(err).Msg("settings not reloaded, the ones in use stay")
-		return
-	}
-	b.AddSeeds(s.InnerSeeds())
-	l.Info().Str("event", "reload").Int("seeds", len(s.Seeds)).Msg("settings reloaded")
-}
--- a/internal/balancer/config.go
+++ b/internal/balancer/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"skylarkturn/internal/control"
+	"skylarkturn/internal/pace"
 	"skylarkturn/internal/platform"
 	"skylarkturn/internal/roster"
 	"skylarkturn/internal/service"
@@ -155,12 +156,12 @@
 		<-ctx.Done()
 		return nil
 	}
-	sleep(ctx, firstCallDelay+rand.N(firstCallDelay))
+	pace.Sleep(ctx, firstCallDelay+rand.N(firstCallDelay))
 	retry := minRetry
 	for ctx.Err() == nil {
 		if !b.watcher() {
 			b.revision = 0
-			sleep(ctx, watcherCheck)
+			pace.Sleep(ctx, watcherCheck)
 			continue
 		}
 		if err := b.followOnce(ctx); err != nil {
@@ -221,19 +222,10 @@
 func (b *Balancer) backOff(ctx context.Context, retry time.Duration, err error) time.Duration {
 	b.counters.platformErrors.Inc()
 	b.log.Debug().Err(err).Msg("platform not followed")
-	sleep(ctx, retry/2+rand.N(retry))
+	pace.Sleep(ctx, retry/2+rand.N(retry))
 	return min(2*retry, maxRetry)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Returns the milliseconds since the catalog was known to be the platform's;
 // called with mu held.
 func (b *Balancer) checkedAgo(now time.Time) uint32 {
--- /dev/null
+++ b/internal/daemon/watched.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/phuslu/log"
+)
+
+// Watched is a daemon whose settings file may change while it runs.
+type Watched interface {
+	Run(ctx context.Context) error
+	Reload() error // takes over what the file says now
+}
+
+// RunWatched runs the daemon that start returns, with a logger on standard output,
+// and has it reload its settings file whenever that changes. It returns the exit
+// code; an error of read is one of the settings.
+func RunWatched(name, path string, read func() error, start func(l *log.Logger) (Watched, error)) int {
+	if err := read(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return ExitSettings
+	}
+	l, w := OutputLogger()
+	defer w.Close()
+	return Run(name, path, l, func(ctx context.Context, l *log.Logger) error {
+		d, err := start(l)
+		if err != nil {
+			return err
+		}
+		l.Info().Str("event", "started").Str("version", Version()).Str("config", path).Msg("")
+		watching, cancel := context.WithCancel(ctx)
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			WatchFile(watching, path, func() { reload(l, d) })
+		}()
+		err = d.Run(ctx)
+		cancel()
+		<-ended
+		return err
+	})
+}
+
+func reload(l *log.Logger, d Watched) {
+	if err := d.Reload(); err != nil {
+		l.Warn().Str("event", "reload").Err(err).Msg("settings not reloaded, the ones in use stay")
+		return
+	}
+	l.Info().Str("event", "reload").Msg("settings reloaded")
+}
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"skylarkturn/internal/pace"
 	"skylarkturn/internal/platform"
 	"skylarkturn/internal/route"
 )
@@ -54,7 +54,7 @@
 // Follows the configuration in the store.
 func (b *Balancer) followStore(ctx context.Context) error {
 	var revision uint64
-	retry := minRetry
+	retry := pace.Backoff{Min: minRetry, Max: maxRetry}
 	lost := false
 	for ctx.Err() == nil {
 		next, err := b.followOnce(ctx, revision)
@@ -62,7 +62,8 @@
 			if lost {
 				b.log.Info().Str("event", "store_regained").Msg("")
 			}
-			revision, retry, lost = next, minRetry, false
+			revision, lost = next, false
+			retry.Reset()
 			continue
 		}
 		revision = 0 // a new list shows what a lost watch may have missed
@@ -74,8 +75,7 @@
 			lost = true
 			b.log.Warn().Str("event", "store_lost").Err(err).Msg("")
 		}
-		sleep(ctx, retry/2+rand.N(retry))
-		retry = min(2*retry, maxRetry)
+		retry.Sleep(ctx)
 	}
 	return nil
 }
@@ -118,7 +118,7 @@
 		if err := b.fetch(ctx, newest.From); err != nil {
 			b.counters.fetchErrors.Inc()
 			b.log.Warn().Str("event", "peer_fetch").Stringer("peer", newest.From).Uint64("version", newest.Number).Err(err).Msg("")
-			sleep(ctx, peerRetry)
+			pace.Sleep(ctx, peerRetry)
 		}
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,7 +20,9 @@
 	"skylarkturn/internal/link"
 	"skylarkturn/internal/membership"
 	"skylarkturn/internal/ops"
+	"skylarkturn/internal/pace"
 	"skylarkturn/internal/packet"
+	"skylarkturn/internal/registry"
 	"skylarkturn/internal/roster"
 	"skylarkturn/internal/route"
 	"skylarkturn/internal/steering"
@@ -63,18 +65,11 @@
 	AwaitConfig(ctx context.Context, since uint64, wait time.Duration) (cfg route.Config, revision uint64, ok bool, err error)
 }
 
-// Registry is where daemons of one role note their addresses.
-type Registry interface {
-	Register(ctx context.Context, name string, inner netip.AddrPort) error
-	Forget(ctx context.Context, name string) error
-	List(ctx context.Context, stale bool) (map[string]netip.AddrPort, error)
-}
-
 // Platform is what the balancer uses of the platform around it.
 type Platform struct {
 	Store     Store
-	Balancers Registry
-	Agents    Registry
+	Balancers registry.Store
+	Agents    registry.Store
 	Format    packet.Format
 	Ready     func(ready func() bool) http.Handler
 	Hosts     http.Handler // answers hosts that call the balancer; nil for none
@@ -82,16 +77,18 @@
 
 // Balancer is one balancer.
 type Balancer struct {
-	cfg      Settings
-	platform Platform
-	log      *log.Logger
-	metrics  *metrics.Set
-	counters counters
-	started  time.Time
+	cfg       Settings
+	platform  Platform
+	balancers *registry.Registry
+	agents    *registry.Registry
+	log       *log.Logger
+	metrics   *metrics.Set
+	counters  counters
+	started   time.Time
 
 	clients *net.UDPConn
 	inner   *inner.Socket
-	servers []server
+	servers ops.Servers
 	peers   *http.Client
 
 	ring     *trace.Ring
@@ -110,11 +107,6 @@
 	isolated bool      // whether no agent is heard any more
 }
 
-type server struct {
-	ln net.Listener
-	h  http.Handler
-}
-
 // Option changes how New builds a balancer.
 type Option func(*Balancer)
 
@@ -145,6 +137,8 @@
 		o(b)
 	}
 	b.counters = newCounters(b.metrics)
+	b.balancers = registry.New("balancers", p.Balancers, b.log, b.counters.storeErrors)
+	b.agents = registry.New("agents", p.Agents, b.log, b.counters.storeErrors)
 	if err := b.open(); err != nil {
 		b.close()
 		return nil, err
@@ -163,24 +157,15 @@
 	if b.clients, err = link.ListenUDP(b.cfg.Packets.String()); err != nil {
 		return err
 	}
-	if err := b.listen(b.cfg.Ready, b.platform.Ready(b.Ready)); err != nil {
+	if err := b.servers.Listen(b.cfg.Ready, b.platform.Ready(b.Ready)); err != nil {
 		return err
 	}
 	if b.cfg.Heartbeats.IsValid() && b.platform.Hosts != nil {
-		if err := b.listen(b.cfg.Heartbeats, b.platform.Hosts); err != nil {
+		if err := b.servers.Listen(b.cfg.Heartbeats, b.platform.Hosts); err != nil {
 			return err
 		}
 	}
-	return b.listen(b.cfg.Ops, b.opsHandler())
-}
-
-func (b *Balancer) listen(addr netip.AddrPort, h http.Handler) error {
-	ln, err := net.Listen("tcp4", addr.String())
-	if err != nil {
-		return &Error{"listen " + addr.String(), KindNetwork, err}
-	}
-	b.servers = append(b.servers, server{ln, h})
-	return nil
+	return b.servers.Listen(b.cfg.Ops, b.opsHandler())
 }
 
 // Closes whatever is open; errors say nothing that matters at the end.
@@ -191,9 +176,7 @@
 	if b.clients != nil {
 		_ = b.clients.Close()
 	}
-	for _, s := range b.servers {
-		_ = s.ln.Close()
-	}
+	b.servers.Close()
 	b.peers.CloseIdleConnections()
 }
 
@@ -234,9 +217,7 @@
 	g.Go(func() error { return b.keepRegistered(running) })
 	g.Go(func() error { return b.learnAgents(running) })
 	g.Go(func() error { return b.forgetDeparted(running) })
-	for _, s := range b.servers {
-		g.Go(func() error { return ops.Serve(running, s.ln, s.h) })
-	}
+	g.Go(func() error { return b.servers.Serve(running) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -264,7 +245,7 @@
 	b.log.Info().Str("event", "stopping").Msg("readiness withdrawn")
 	began := time.Now()
 	for time.Since(began) < b.cfg.Grace-retireReserve {
-		sleep(ctx, retireCheck)
+		pace.Sleep(ctx, retireCheck)
 		quiet := time.Since(time.Unix(0, b.lastIn.Load()))
 		if ctx.Err() != nil || time.Since(began) > retireAtLeast && quiet > retireQuiet {
 			break
@@ -274,19 +255,10 @@
 	out := b.members.Farewell(time.Now())
 	b.mu.Unlock()
 	b.sendMessages(out)
-	b.forget(ctx)
+	_ = b.balancers.Forget(ctx, b.cfg.Name) // logged; the note does no harm
 	b.log.Info().Str("event", "stopped").Dur("took", time.Since(began)).Msg("fabric has let go")
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Reads packets of clients.
 func (b *Balancer) readClients(ctx context.Context) error {
 	buf := make([]byte, maxClientDatagram)
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"skylarkturn/internal/pace"
 	"skylarkturn/internal/roster"
 	"skylarkturn/internal/steering"
 )
@@ -18,7 +19,7 @@
 // Drives what depends on time.
 func (b *Balancer) keepTime(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, b.tick(time.Now()))
+		pace.Sleep(ctx, b.tick(time.Now()))
 	}
 	return nil
 }
--- a/internal/hostside/agent.go
+++ b/internal/hostside/agent.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
@@ -20,27 +19,13 @@
 	"skylarkturn/internal/link"
 	"skylarkturn/internal/membership"
 	"skylarkturn/internal/ops"
+	"skylarkturn/internal/pace"
 	"skylarkturn/internal/packet"
+	"skylarkturn/internal/registry"
 	"skylarkturn/internal/roster"
 	"skylarkturn/internal/trace"
 )
 
-// KindNetwork is the kind of errors of sockets.
-const KindNetwork = "network"
-
-// Error reports the operation of package hostside that failed and why.
-type Error struct {
-	Op   string
-	Kind string
-	Err  error
-}
-
-// Error returns the operation, the kind and the cause.
-func (e *Error) Error() string { return fmt.Sprintf("hostside: %s: %s: %v", e.Op, e.Kind, e.Err) }
-
-// Unwrap returns the cause.
-func (e *Error) Unwrap() error { return e.Err }
-
 // Settings are the settings of an agent.
 type Settings struct {
 	Name       string
@@ -59,17 +44,10 @@
 	FirstStart bool          // no host can have started before the agent
 }
 
-// Registry is where daemons of one role note their addresses.
-type Registry interface {
-	Register(ctx context.Context, name string, inner netip.AddrPort) error
-	Forget(ctx context.Context, name string) error
-	List(ctx context.Context, stale bool) (map[string]netip.AddrPort, error)
-}
-
 // Platform is what the agent uses of the platform around it.
 type Platform struct {
-	Balancers Registry
-	Agents    Registry
+	Balancers registry.Store
+	Agents    registry.Store
 	Format    packet.Format
 	Ready     func(ready func() bool) http.Handler
 	Hosts     func(*Agent) http.Handler // takes the host's heartbeats
@@ -77,15 +55,17 @@
 
 // Agent is one agent.
 type Agent struct {
-	cfg      Settings
-	platform Platform
-	log      *log.Logger
-	metrics  *metrics.Set
-	counters counters
+	cfg       Settings
+	platform  Platform
+	balancers *registry.Registry
+	agents    *registry.Registry
+	log       *log.Logger
+	metrics   *metrics.Set
+	counters  counters
 
 	outbound *net.UDPConn
 	inner    *inner.Socket
-	servers  []server
+	servers  ops.Servers
 	checks   chan struct{}
 	hosted   chan struct{} // closed once the agent has had a host
 	hosting  sync.Once
@@ -97,11 +77,6 @@
 	members *membership.Agent
 }
 
-type server struct {
-	ln net.Listener
-	h  http.Handler
-}
-
 // Option changes how New builds an agent.
 type Option func(*Agent)
 
@@ -131,6 +106,8 @@
 		o(a)
 	}
 	a.counters = newCounters(a.metrics)
+	a.balancers = registry.New("balancers", p.Balancers, a.log, a.counters.storeErrors)
+	a.agents = registry.New("agents", p.Agents, a.log, a.counters.storeErrors)
 	if err := a.open(); err != nil {
 		a.close()
 		return nil, err
@@ -152,21 +129,13 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/flows", a.ring)
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) { a.metrics.WritePrometheus(w) })
-	for _, s := range []struct {
-		addr netip.AddrPort
-		h    http.Handler
-	}{
-		{a.cfg.Heartbeats, a.platform.Hosts(a)},
-		{a.cfg.Ready, a.platform.Ready(func() bool { return true })},
-		{a.cfg.Ops, mux},
-	} {
-		ln, err := net.Listen("tcp4", s.addr.String())
-		if err != nil {
-			return &Error{"listen " + s.addr.String(), KindNetwork, err}
-		}
-		a.servers = append(a.servers, server{ln, s.h})
+	if err := a.servers.Listen(a.cfg.Heartbeats, a.platform.Hosts(a)); err != nil {
+		return err
 	}
-	return nil
+	if err := a.servers.Listen(a.cfg.Ready, a.platform.Ready(func() bool { return true })); err != nil {
+		return err
+	}
+	return a.servers.Listen(a.cfg.Ops, mux)
 }
 
 // Closes whatever is open; errors say nothing that matters at the end.
@@ -177,9 +146,7 @@
 	if a.outbound != nil {
 		_ = a.outbound.Close()
 	}
-	for _, s := range a.servers {
-		_ = s.ln.Close()
-	}
+	a.servers.Close()
 }
 
 // Run serves until ctx is done, says farewell, and returns nil, or the error
@@ -195,9 +162,7 @@
 	g.Go(func() error { return a.register(running) })
 	g.Go(func() error { return a.seekBalancers(running) })
 	g.Go(func() error { return a.checkHost(running) })
-	for _, s := range a.servers {
-		g.Go(func() error { return ops.Serve(running, s.ln, s.h) })
-	}
+	g.Go(func() error { return a.servers.Serve(running) })
 	g.Go(func() error {
 		select {
 		case <-ctx.Done():
@@ -220,7 +185,7 @@
 	a.sendMessages(out)
 	a.log.Info().Str("event", "stopped").Bool("for_good", !hosted).Msg("")
 	if !hosted {
-		a.forget(ctx)
+		_ = a.agents.Forget(ctx, a.cfg.Name) // logged; balancers take the note out, too
 	}
 }
 
@@ -267,7 +232,7 @@
 		a.log.Info().Str("event", "host_checked").Stringer("result", result).Int("actions", len(out)).Msg("")
 		a.act(out)
 		a.sendMessages(messages)
-		sleep(ctx, checkEvery)
+		pace.Sleep(ctx, checkEvery)
 	}
 }
 
@@ -285,12 +250,3 @@
 	}
 	return flowtable.HostUnclear
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/hostside/forward.go
+++ b/internal/hostside/forward.go
@@ -8,6 +8,7 @@
 	"skylarkturn/internal/control"
 	"skylarkturn/internal/flowtable"
 	"skylarkturn/internal/membership"
+	"skylarkturn/internal/pace"
 	"skylarkturn/internal/packet"
 	"skylarkturn/internal/parcel"
 	"skylarkturn/internal/roster"
@@ -219,7 +220,7 @@
 // Drives what depends on time.
 func (a *Agent) keepTime(ctx context.Context) error {
 	for ctx.Err() == nil {
-		sleep(ctx, a.tick(time.Now()))
+		pace.Sleep(ctx, a.tick(time.Now()))
 	}
 	return nil
 }
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -9,6 +9,8 @@
 	"net/http/pprof"
 	"net/netip"
 	"time"
+
+	"golang.org/x/sync/errgroup"
 )
 
 // KindServe is the kind of errors of servers.
@@ -54,6 +56,40 @@
 	return nil
 }
 
+// Servers are HTTP servers of one daemon.
+type Servers struct{ servers []server }
+
+type server struct {
+	ln net.Listener
+	h  http.Handler
+}
+
+// Listen opens a listener for h.
+func (s *Servers) Listen(addr netip.AddrPort, h http.Handler) error {
+	ln, err := net.Listen("tcp4", addr.String())
+	if err != nil {
+		return &Error{"listen " + addr.String(), KindServe, err}
+	}
+	s.servers = append(s.servers, server{ln, h})
+	return nil
+}
+
+// Serve serves all of them until ctx is done.
+func (s *Servers) Serve(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, v := range s.servers {
+		g.Go(func() error { return Serve(ctx, v.ln, v.h) })
+	}
+	return g.Wait()
+}
+
+// Close closes the listeners; errors say nothing that matters at the end.
+func (s *Servers) Close() {
+	for _, v := range s.servers {
+		_ = v.ln.Close()
+	}
+}
+
 // Profiles adds the profile endpoints, which answer on loopback only.
 func Profiles(mux *http.ServeMux) {
 	mux.HandleFunc("GET /debug/pprof/", local(pprof.Index))
