--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -71,13 +71,15 @@
 	os.Exit(code)
 }
 
+const timeFormat = "2006-01-02T15:04:05.000Z07:00" // of log lines
+
 // Logger returns a logger for the settings that writes to w.
 func Logger(cfg settings.Log, w io.Writer) *log.Logger {
 	level := log.InfoLevel
 	if cfg.Level != "" {
 		level = log.ParseLevel(cfg.Level)
 	}
-	l := &log.Logger{Level: level, TimeFormat: "2006-01-02T15:04:05.000Z07:00", Writer: &log.IOWriter{Writer: w}}
+	l := &log.Logger{Level: level, TimeFormat: timeFormat, Writer: &log.IOWriter{Writer: w}}
 	if cfg.Format == "text" {
 		l.Writer = &log.ConsoleWriter{Writer: w}
 	}
--- /dev/null
+++ b/internal/daemon/output_test.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-quicktest/qt"
+)
+
+// stuck is a reader that does not read until it is released.
+type stuck struct {
+	released chan struct{}
+	buf      bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.released
+	return s.buf.Write(p)
+}
+
+func TestOutputNeverBlocks(t *testing.T) {
+	w := &stuck{released: make(chan struct{})}
+	o := NewOutput(w)
+	const lines = 10 * outputLines
+	for i := range lines {
+		n, err := o.Write(fmt.Appendf(nil, "line %d\n", i))
+		qt.Assert(t, qt.IsNil(err))
+		qt.Assert(t, qt.Not(qt.Equals(n, 0)))
+	}
+	close(w.released)
+	o.Close()
+	got := w.buf.String()
+	qt.Check(t, qt.StringContains(got, "line 0\n"))
+	qt.Check(t, qt.StringContains(got, `"event":"lines_dropped"`))
+	kept := strings.Count(got, "line ")
+	qt.Check(t, qt.IsTrue(kept >= outputLines && kept <= outputLines+1), qt.Commentf("%d lines", kept))
+}
+
+// The file changes without a signal, and is missing for a moment.
+func TestWatchFileSeesChanges(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings.conf")
+	qt.Assert(t, qt.IsNil(os.WriteFile(path, []byte("a=1\n"), 0o600)))
+	synctest.Test(t, func(t *testing.T) {
+		changes := 0
+		go watchFile(t.Context(), path, nil, func() { changes++ })
+		time.Sleep(3 * reloadEvery)
+		synctest.Wait()
+		qt.Check(t, qt.Equals(changes, 0))
+		qt.Assert(t, qt.IsNil(os.WriteFile(path, []byte("a=1\nb=2\n"), 0o600)))
+		time.Sleep(2 * reloadEvery)
+		synctest.Wait()
+		qt.Check(t, qt.Equals(changes, 1))
+	})
+}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -18,6 +18,10 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
+	watchFile(ctx, path, hup, changed)
+}
+
+func watchFile(ctx context.Context, path string, hup <-chan os.Signal, changed func()) {
 	t := time.NewTicker(reloadEvery)
 	defer t.Stop()
 	last := stamp(path)
