--- /dev/null
+++ b/internal/flowtable/outbound.go
@@ -0,0 +1,92 @@
+package flowtable
+
+import (
+	"time"
+
+	"skylarkturn/internal/packet"
+	"skylarkturn/internal/parcel"
+)
+
+// Outbound decides on a packet that the host sent.
+func (t *Table) Outbound(now time.Time, p *packet.Head, raw []byte, out []Action) []Action {
+	t.silence = silence{}
+	if p.Flags.Has(packet.Bounced) {
+		return t.returned(p, raw, out)
+	}
+	k := p.FromHost()
+	f := t.flows[k]
+	if f == nil {
+		f = t.unknownOutbound(now, k, p)
+	}
+	if f != nil {
+		out = t.hostSent(now, k, f, p, out)
+	}
+	return append(out, Action{Verb: ToClient, Cause: Usual, Flow: k, Packet: raw})
+}
+
+// Learns a flow from a packet of the host. A reset or the rest of a flow that
+// has ended tells nothing.
+func (t *Table) unknownOutbound(now time.Time, k packet.Key, p *packet.Head) *flow {
+	if t.complete || p.Flags.Has(packet.RST) {
+		return nil
+	}
+	f := t.add(now, k)
+	if !p.Accepts() {
+		f.state = open
+	}
+	if q, ok := t.questions[k]; ok {
+		f.via = q.from
+	}
+	return f
+}
+
+func (t *Table) hostSent(now time.Time, k packet.Key, f *flow, p *packet.Head, out []Action) []Action {
+	f.used = now
+	if q, ok := t.questions[k]; ok {
+		delete(t.questions, k)
+		out = append(out, owned(k, q.from))
+	}
+	if p.Accepts() {
+		first := !f.answered
+		f.hostSeq, f.answered = p.Seq, true
+		if first && f.via.IsValid() {
+			out = append(out, owned(k, f.via))
+		}
+		return out
+	}
+	if p.DataLen > 0 {
+		t.setBusy(f, false)
+	}
+	if p.Flags.Has(packet.FIN) {
+		f.hostFin = true
+	}
+	if p.Flags.Has(packet.RST) || f.hostFin && f.clientFin {
+		t.end(f)
+	}
+	return out
+}
+
+// Decides on a client's packet that the host returned.
+func (t *Table) returned(p *packet.Head, raw []byte, out []Action) []Action {
+	k := p.FromClient()
+	if q, ok := t.questions[k]; ok {
+		delete(t.questions, k)
+		return append(out, refusal(k, q.from, q.kind, parcel.NotHeld, raw))
+	}
+	f := t.flows[k]
+	switch {
+	case f == nil || f.state == closed:
+		return append(out, Action{Verb: Drop, Cause: Bounced, Flow: k})
+	case p.Opens():
+		if f.answered {
+			return append(out, Action{Verb: Drop, Cause: Bounced, Flow: k})
+		}
+		via := f.via
+		t.remove(k, f)
+		return append(out, refusal(k, via, parcel.Deliver, parcel.Full, raw))
+	case f.state == halfOpen:
+		return append(out, Action{Verb: Drop, Cause: Bounced, Flow: k})
+	}
+	t.remove(k, f)
+	return append(out, Action{Verb: Reset, Cause: Bounced, Flow: k, ClientAck: p.Ack})
+}
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -20,57 +20,6 @@
 	silenceBounds = 2 // unanswered packets from which a host may have ended
 )
 
-// Verb tells what an Action does.
-type Verb uint8
-
-// Verbs of actions.
-const (
-	ToHost   Verb = iota + 1 // give the packet to the host
-	ToClient                 // send the packet to the client
-	Reply                    // send the parcel to the balancer
-	Reset                    // reset the client's flow
-	Drop                     // do nothing with the packet
-)
-
-// Cause tells why an action was chosen.
-type Cause uint8
-
-// Causes of actions.
-const (
-	Usual         Cause = iota + 1
-	Asked               // the host is asked whether it holds the flow
-	Refused             // the host is not to get the packet
-	Bounced             // the host does not hold the flow that the table had as open
-	HostLeft            // the host has left
-	HostRestarted       // a new incarnation of the host has registered
-	HostEnded           // nothing listens at the host's address
-	Forged              // nobody may send such a packet
-)
-
-var causeNames = [...]string{"unknown", "usual", "asked", "refused", "bounced", "host_left", "host_restarted", "host_ended", "forged"}
-
-// Causes is the number of causes, for tables indexed by them.
-const Causes = len(causeNames)
-
-// String returns the cause in snake case.
-func (c Cause) String() string {
-	if int(c) < len(causeNames) {
-		return causeNames[c]
-	}
-	return causeNames[0]
-}
-
-// Action is one thing to do.
-type Action struct {
-	Verb      Verb
-	Cause     Cause
-	Flow      packet.Key
-	Balancer  netip.AddrPort // of Reply
-	Parcel    parcel.Header  // of Reply
-	Packet    []byte
-	ClientAck uint32 // of Reset
-}
-
 type state uint8
 
 const (
@@ -205,65 +154,6 @@
 	return append(out, Action{Verb: ToHost, Cause: Asked, Flow: k, Packet: raw})
 }
 
-// Outbound decides on a packet that the host sent.
-func (t *Table) Outbound(now time.Time, p *packet.Head, raw []byte, out []Action) []Action {
-	t.silence = silence{}
-	if p.Flags.Has(packet.Bounced) {
-		return t.returned(p, raw, out)
-	}
-	k := p.FromHost()
-	f := t.flows[k]
-	if f == nil {
-		f = t.unknownOutbound(now, k, p)
-	}
-	if f != nil {
-		out = t.hostSent(now, k, f, p, out)
-	}
-	return append(out, Action{Verb: ToClient, Cause: Usual, Flow: k, Packet: raw})
-}
-
-// Learns a flow from a packet of the host. A reset or the rest of a flow that
-// has ended tells nothing.
-func (t *Table) unknownOutbound(now time.Time, k packet.Key, p *packet.Head) *flow {
-	if t.complete || p.Flags.Has(packet.RST) {
-		return nil
-	}
-	f := t.add(now, k)
-	if !p.Accepts() {
-		f.state = open
-	}
-	if q, ok := t.questions[k]; ok {
-		f.via = q.from
-	}
-	return f
-}
-
-func (t *Table) hostSent(now time.Time, k packet.Key, f *flow, p *packet.Head, out []Action) []Action {
-	f.used = now
-	if q, ok := t.questions[k]; ok {
-		delete(t.questions, k)
-		out = append(out, owned(k, q.from))
-	}
-	if p.Accepts() {
-		first := !f.answered
-		f.hostSeq, f.answered = p.Seq, true
-		if first && f.via.IsValid() {
-			out = append(out, owned(k, f.via))
-		}
-		return out
-	}
-	if p.DataLen > 0 {
-		t.setBusy(f, false)
-	}
-	if p.Flags.Has(packet.FIN) {
-		f.hostFin = true
-	}
-	if p.Flags.Has(packet.RST) || f.hostFin && f.clientFin {
-		t.end(f)
-	}
-	return out
-}
-
 func (t *Table) clientSent(f *flow, p *packet.Head) {
 	if p.Flags.Has(packet.ACK) {
 		f.clientAck = p.Ack
@@ -279,31 +169,6 @@
 	}
 }
 
-// Decides on a client's packet that the host returned.
-func (t *Table) returned(p *packet.Head, raw []byte, out []Action) []Action {
-	k := p.FromClient()
-	if q, ok := t.questions[k]; ok {
-		delete(t.questions, k)
-		return append(out, refusal(k, q.from, q.kind, parcel.NotHeld, raw))
-	}
-	f := t.flows[k]
-	switch {
-	case f == nil || f.state == closed:
-		return append(out, Action{Verb: Drop, Cause: Bounced, Flow: k})
-	case p.Opens():
-		if f.answered {
-			return append(out, Action{Verb: Drop, Cause: Bounced, Flow: k})
-		}
-		via := f.via
-		t.remove(k, f)
-		return append(out, refusal(k, via, parcel.Deliver, parcel.Full, raw))
-	case f.state == halfOpen:
-		return append(out, Action{Verb: Drop, Cause: Bounced, Flow: k})
-	}
-	t.remove(k, f)
-	return append(out, Action{Verb: Reset, Cause: Bounced, Flow: k, ClientAck: p.Ack})
-}
-
 // Tick does what is due: it ends the flows of a host that has left, and forgets
 // flows that have ended.
 func (t *Table) Tick(now time.Time, out []Action) []Action {
@@ -403,16 +268,3 @@
 		t.busy--
 	}
 }
-
-func owned(k packet.Key, to netip.AddrPort) Action {
-	return Action{Verb: Reply, Cause: Usual, Flow: k, Balancer: to, Parcel: parcel.Header{Kind: parcel.Owned, Flow: k}}
-}
-
-// Returns the answer that a packet was refused. The packet goes back unless it
-// came with a question, whose sender has kept it.
-func refusal(k packet.Key, to netip.AddrPort, kind parcel.Kind, reason parcel.Reason, raw []byte) Action {
-	if kind == parcel.Ask {
-		raw = nil
-	}
-	return Action{Verb: Reply, Cause: Refused, Flow: k, Balancer: to, Parcel: parcel.Header{Kind: parcel.Refused, Reason: reason, Flow: k}, Packet: raw}
-}
--- /dev/null
+++ b/internal/steering/place.go
@@ -0,0 +1,118 @@
+package steering
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"skylarkturn/internal/packet"
+	"skylarkturn/internal/parcel"
+)
+
+// Decides on a packet that opens a flow.
+func (t *Table) opening(now time.Time, k packet.Key, f *flow, h *packet.Head, raw []byte, out []Action) []Action {
+	if t.routes != nil && t.routes.Lookup(k.Route) == nil {
+		return append(out, Action{Verb: Reset, Cause: NoRoute, Flow: k, ClientAck: h.Ack})
+	}
+	if f == nil {
+		f = t.remember(now, k)
+		return t.place(now, k, f, h.Ack, raw, out)
+	}
+	if f.parked != nil {
+		return append(out, Action{Verb: Drop, Cause: Waiting, Flow: k})
+	}
+	later := h.Ack > f.copies
+	f.copies = max(f.copies, h.Ack)
+	switch owner := t.targets[f.owner]; {
+	case owner != nil && (f.owned || !later):
+		cause := Known
+		if !f.owned {
+			cause = Placed
+		}
+		return append(out, Action{Verb: Send, Cause: cause, Flow: k, Agent: f.owner, Kind: parcel.Deliver, Service: owner.Service, Packet: raw})
+	case f.owner.IsValid():
+		f.tried = append(f.tried, f.owner)
+	}
+	return t.place(now, k, f, h.Ack, raw, out)
+}
+
+// Places a new flow on a target that has not been tried.
+func (t *Table) place(now time.Time, k packet.Key, f *flow, clientAck uint32, raw []byte, out []Action) []Action {
+	f.owner, f.owned = netip.AddrPort{}, false
+	if t.routes == nil {
+		return append(out, t.park(now, k, f, raw))
+	}
+	hash := k.Hash()
+	service, ok := t.routes.Lookup(k.Route).Service(hash)
+	if !ok {
+		return append(out, Action{Verb: Reset, Cause: NoTarget, Flow: k, ClientAck: clientAck})
+	}
+	ranked := t.services[service].rank(hash, func(n *target) bool { return n.open() && !contains(f.tried, n.Agent) })
+	best := ranked.lightest()
+	if best == nil {
+		return append(out, t.unplaced(now, k, f, service, clientAck, raw))
+	}
+	f.owner = best.Agent
+	best.placed++
+	cause := Placed
+	if len(f.tried) > 0 {
+		cause = PlacedAgain
+	}
+	return append(out, Action{Verb: Send, Cause: cause, Flow: k, Agent: best.Agent, Kind: parcel.Deliver, Service: service, Packet: raw})
+}
+
+// Decides on a new flow that no target takes: it waits where one may take it
+// soon, and is refused at once where none will.
+func (t *Table) unplaced(now time.Time, k packet.Key, f *flow, service string, clientAck uint32, raw []byte) Action {
+	g := t.services[service]
+	coming := g != nil && slices.ContainsFunc(g.targets, func(n *target) bool { return n.coming(now) })
+	switch {
+	case coming:
+	case len(f.tried) > 0:
+		f.tried = f.tried[:0] // a later copy may try them again
+		return Action{Verb: Reset, Cause: AllRefused, Flow: k, ClientAck: clientAck}
+	case t.settled:
+		return Action{Verb: Reset, Cause: NoTarget, Flow: k, ClientAck: clientAck}
+	}
+	return t.park(now, k, f, raw)
+}
+
+// Keeps the packet that opens a flow until more is known of routes and targets.
+func (t *Table) park(now time.Time, k packet.Key, f *flow, raw []byte) Action {
+	if f.parked == nil && len(t.pending) < maxPending {
+		f.parked = &parked{slices.Clone(raw), now}
+		t.pending[k] = f
+	}
+	return Action{Verb: Drop, Cause: Unsettled, Flow: k}
+}
+
+// Tries again to place a flow whose opening packet is parked.
+func (t *Table) unpark(now time.Time, k packet.Key, f *flow, out []Action) []Action {
+	p := f.parked
+	f.parked = nil
+	delete(t.pending, k)
+	if now.Sub(p.since) >= openingFor {
+		return out
+	}
+	if t.routes != nil && t.routes.Lookup(k.Route) == nil {
+		return append(out, Action{Verb: Reset, Cause: NoRoute, Flow: k})
+	}
+	before := len(out)
+	out = t.place(now, k, f, f.copies, p.raw, out)
+	if f.parked != nil {
+		f.parked.since = p.since
+		return out[:before] // nothing new to tell
+	}
+	return out
+}
+
+func (t *Table) refusedOpening(now time.Time, from netip.AddrPort, h *parcel.Header, f *flow, p *packet.Head, raw []byte, out []Action) []Action {
+	if n := t.targets[from]; n != nil && h.Reason != parcel.Full {
+		n.refusing = true
+	}
+	if f.owner != from || t.routes.Lookup(h.Flow.Route) == nil {
+		return out
+	}
+	f.tried = append(f.tried, from)
+	return t.place(now, h.Flow, f, p.Ack, raw, out)
+}
