--- a/internal/membership/settle.go
+++ b/internal/membership/settle.go
@@ -26,9 +26,11 @@
 }
 
 // Settled reports whether the members known are all there are. A balancer that
-// is settled and knows the same members says so for certain. After a loss of
-// all power there is none; then every agent of the registry must have been heard
-// of. Without a registry, time has to do.
+// is settled and knows the same members says so for certain. After a loss of all
+// power there is none; then every agent of the registry must have been heard of,
+// by this balancer or by another one. Time has to do without the registry, and for
+// agents in it that ended without a word: longer where no other balancer is heard,
+// since a partition may lie between.
 func (b *Balancer) Settled(now time.Time) bool {
 	if b.settled {
 		return true
