--- a/internal/daemon/output_test.go
+++ b/internal/daemon/output_test.go
@@ -6,6 +6,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,14 +48,14 @@
 	path := filepath.Join(t.TempDir(), "settings.conf")
 	qt.Assert(t, qt.IsNil(os.WriteFile(path, []byte("a=1\n"), 0o600)))
 	synctest.Test(t, func(t *testing.T) {
-		changes := 0
-		go watchFile(t.Context(), path, nil, func() { changes++ })
+		var changes atomic.Int32
+		go watchFile(t.Context(), path, nil, func() { changes.Add(1) })
 		time.Sleep(3 * reloadEvery)
 		synctest.Wait()
-		qt.Check(t, qt.Equals(changes, 0))
+		qt.Check(t, qt.Equals(changes.Load(), 0))
 		qt.Assert(t, qt.IsNil(os.WriteFile(path, []byte("a=1\nb=2\n"), 0o600)))
 		time.Sleep(2 * reloadEvery)
 		synctest.Wait()
-		qt.Check(t, qt.Equals(changes, 1))
+		qt.Check(t, qt.Equals(changes.Load(), 1))
 	})
 }
