--- a/internal/platformstand/record.go
+++ b/internal/platformstand/record.go
@@ -13,7 +13,7 @@
 type Bounds struct {
 	Config time.Duration // until a configuration is in force
 	Drain  time.Duration // until a draining host gets no new flows
-	Stable time.Duration // without disruption, after which a VM counts as in touch
+	Stable time.Duration // without disruption, after which a VM counts as undisturbed
 	Stray  time.Duration // time in which some packets of a flow must reach its host
 }
 
@@ -82,7 +82,7 @@
 }
 
 // Reports whether no disruption of the VM is recent; called with mu held.
-func (r *Record) inTouch(vm netip.Addr) bool {
+func (r *Record) undisturbed(vm netip.Addr) bool {
 	return time.Since(r.disrupted[vm]) >= r.bounds.Stable
 }
 
@@ -109,10 +109,10 @@
 	switch {
 	case !ever:
 		r.breaks("ROUTE: flow %v opened at a host of %s", k, h.Service)
-	case !now && r.inTouch(took):
+	case !now && r.undisturbed(took):
 		r.breaks("CONFIG: flow %v opened at a host of %s by an old version", k, h.Service)
 	}
-	if drained := h.drainingFor(); drained > r.bounds.Drain && r.inTouch(took) && r.inTouch(h.vm) {
+	if drained := h.drainingFor(); drained > r.bounds.Drain && r.undisturbed(took) && r.undisturbed(h.vm) {
 		r.breaks("DRAIN: flow %v opened %v after the host's drain was acknowledged", k, drained)
 	}
 }
@@ -133,7 +133,7 @@
 	}
 	f.strays++
 	late := time.Since(f.since) >= r.bounds.Stray
-	if f.strays >= strays && late && !f.reported && f.host.holds(k) && r.inTouch(f.host.vm) && r.inTouch(f.took) && r.inTouch(h.vm) {
+	if f.strays >= strays && late && !f.reported && f.host.holds(k) && r.undisturbed(f.host.vm) && r.undisturbed(f.took) && r.undisturbed(h.vm) {
 		f.reported = true
 		r.breaks("FLOW: %d packets of %v reached other hosts and none its own", f.strays, k)
 	}
@@ -147,7 +147,7 @@
 	if f == nil || !f.host.holds(k) {
 		return
 	}
-	if r.inTouch(f.host.vm) && r.inTouch(by) && r.inTouch(took) {
+	if r.undisturbed(f.host.vm) && r.undisturbed(by) && r.undisturbed(took) {
 		r.breaks("FLOW: %v was reset by %v while its host at %v serves", k, by, f.host.vm)
 	}
 }
