--- a/internal/daemon/watched.go
+++ b/internal/daemon/watched.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"os"
 
 	"github.com/phuslu/log"
 )
@@ -16,12 +14,8 @@
 
 // RunWatched runs the daemon that start returns, with a logger on standard output,
 // and has it reload its settings file whenever that changes. It returns the exit
-// code; an error of read is one of the settings.
-func RunWatched(name, path string, read func() error, start func(l *log.Logger) (Watched, error)) int {
-	if err := read(); err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
-		return ExitSettings
-	}
+// code.
+func RunWatched(name, path string, start func(l *log.Logger) (Watched, error)) int {
 	l, w := OutputLogger()
 	defer w.Close()
 	return Run(name, path, l, func(ctx context.Context, l *log.Logger) error {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -180,11 +179,6 @@
 	b.peers.CloseIdleConnections()
 }
 
-// Addresses returns the addresses for clients' packets and for daemons.
-func (b *Balancer) Addresses() (packets, inner netip.AddrPort) {
-	return link.LocalAddr(b.clients), b.inner.Addr()
-}
-
 // readyWithin is the time after its start from which a balancer that knows the
 // configuration is ready without knowing any target.
 const readyWithin = 1500 * time.Millisecond
@@ -261,17 +255,10 @@
 
 // Reads packets of clients.
 func (b *Balancer) readClients(ctx context.Context) error {
-	buf := make([]byte, maxClientDatagram)
 	var out []steering.Action
-	for {
-		n, _, err := b.clients.ReadFromUDPAddrPort(buf)
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			b.counters.readErrors.Inc() // a reset that a client's VM refused
-			continue
-		}
-		out = b.fromClient(buf[:n], out[:0])
-	}
+	failed := func(error) { b.counters.readErrors.Inc() }
+	link.Each(ctx, b.clients, maxClientDatagram, failed, func(raw []byte, _ netip.AddrPort) {
+		out = b.fromClient(raw, out[:0])
+	})
+	return nil
 }
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -131,7 +131,7 @@
 	counts := make(map[netip.AddrPort]int)
 	const n = 30_000
 	for key := range uint64(n) {
-		a, ok := Place(mix(key), candidates)
+		a, ok := Place(Mix(key), candidates)
 		qt.Assert(t, qt.IsTrue(ok))
 		counts[a]++
 	}
@@ -144,12 +144,12 @@
 func TestPlaceIsConsistent(t *testing.T) {
 	all := []Candidate{{agent1, 1}, {agent2, 1}, {agent3, 1}}
 	for key := range uint64(2000) {
-		before, _ := Place(mix(key), all)
-		after, _ := Place(mix(key), all[:2])
+		before, _ := Place(Mix(key), all)
+		after, _ := Place(Mix(key), all[:2])
 		if before != agent3 {
 			qt.Assert(t, qt.Equals(after, before))
 		}
-		ranked := Rank(mix(key), all)
+		ranked := Rank(Mix(key), all)
 		qt.Assert(t, qt.Equals(ranked[0], before))
 	}
 }
--- a/internal/flow/id.go
+++ b/internal/flow/id.go
@@ -33,7 +33,7 @@
 
 // FenceOf returns the part of an incarnation that a connection ID carries.
 func FenceOf(incarnation uint64) uint32 {
-	return uint32(mix(incarnation) >> 32)
+	return uint32(Mix(incarnation) >> 32)
 }
 
 // Keyring holds the AES keys for connection IDs, by key number.
--- a/internal/flow/place.go
+++ b/internal/flow/place.go
@@ -56,13 +56,13 @@
 		return math.Inf(-1)
 	}
 	a4 := c.Agent.Addr().As4()
-	h := mix(key ^ mix(uint64(binary.BigEndian.Uint32(a4[:]))<<16|uint64(c.Agent.Port())))
+	h := Mix(key ^ Mix(uint64(binary.BigEndian.Uint32(a4[:]))<<16|uint64(c.Agent.Port())))
 	u := (float64(h>>11) + 0.5) / (1 << 53)
 	return -c.Weight / math.Log(u)
 }
 
-// Finalizer of SplitMix64.
-func mix(x uint64) uint64 {
+// Mix is the finalizer of SplitMix64: it spreads every bit of x over the result.
+func Mix(x uint64) uint64 {
 	x += 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
--- a/internal/hostside/agent.go
+++ b/internal/hostside/agent.go
@@ -191,19 +191,12 @@
 
 // Reads packets of the host.
 func (a *Agent) readHost(ctx context.Context) error {
-	buf := make([]byte, maxHostDatagram)
 	var out []flowtable.Action
-	for {
-		n, _, err := a.outbound.ReadFromUDPAddrPort(buf)
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			a.counters.socketErrors.Inc() // a packet that the host's VM refused
-			continue
-		}
-		out = a.fromHost(buf[:n], out[:0])
-	}
+	failed := func(error) { a.counters.socketErrors.Inc() }
+	link.Each(ctx, a.outbound, maxHostDatagram, failed, func(raw []byte, _ netip.AddrPort) {
+		out = a.fromHost(raw, out[:0])
+	})
+	return nil
 }
 
 const (
--- a/internal/inner/socket.go
+++ b/internal/inner/socket.go
@@ -80,18 +80,9 @@
 
 // Read hands what arrives to h until ctx is done or the socket is closed.
 func (s *Socket) Read(ctx context.Context, h Handler) error {
-	buf := make([]byte, maxDatagram)
-	for {
-		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			s.unsent.Inc() // an earlier datagram was refused by its receiver
-			continue
-		}
-		s.dispatch(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buf[:n], h)
-	}
+	failed := func(error) { s.unsent.Inc() }
+	link.Each(ctx, s.conn, maxDatagram, failed, func(b []byte, from netip.AddrPort) { s.dispatch(from, b, h) })
+	return nil
 }
 
 func (s *Socket) dispatch(from netip.AddrPort, b []byte, h Handler) {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"net"
 	"net/netip"
@@ -75,6 +77,24 @@
 	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
 }
 
+// Each hands every datagram that arrives at conn to f, which must not keep it,
+// until ctx is done or conn is closed. Other errors stem from datagrams that a
+// receiver has refused; they go to failed. Datagrams are cut at size bytes.
+func Each(ctx context.Context, conn *net.UDPConn, size int, failed func(error), f func(b []byte, from netip.AddrPort)) {
+	buf := make([]byte, size)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		switch {
+		case err == nil:
+			f(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			return
+		default:
+			failed(err)
+		}
+	}
+}
+
 // Reader reads datagrams in batches, with room for a frame before each.
 type Reader struct {
 	conn *ipv4.PacketConn
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -46,9 +46,6 @@
 // AddSeeds adds addresses at which balancers may be found.
 func (a *Agent) AddSeeds(seeds []netip.AddrPort) { a.seeds = addSeeds(a.seeds, a.me.Addr, seeds) }
 
-// Me returns the agent's own record.
-func (a *Agent) Me() roster.Member { return a.me }
-
 // Observers returns the number of balancers that heartbeats go to.
 func (a *Agent) Observers() int { return len(a.observers) }
 
@@ -125,7 +122,7 @@
 func (a *Agent) heartbeat(ask bool) *control.Message {
 	m := &control.Message{Kind: control.Heartbeat, From: a.me, Unknown: ask}
 	for i := range a.observers {
-		m.Digest ^= addrHash(a.observers[i].addr)
+		m.Digest ^= roster.AddrHash(a.observers[i].addr)
 	}
 	return m
 }
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -1,14 +1,11 @@
 package membership
 
 import (
-	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
 
-	"github.com/zeebo/xxh3"
-
 	"skylarkturn/internal/control"
 	"skylarkturn/internal/roster"
 )
@@ -273,19 +270,11 @@
 // balancers find that they know different ones.
 func observersDigest(observers []roster.Member) (d uint64) {
 	for i := range observers {
-		d ^= addrHash(observers[i].Addr)
+		d ^= roster.AddrHash(observers[i].Addr)
 	}
 	return d
 }
 
-func addrHash(a netip.AddrPort) uint64 {
-	var b [6]byte
-	a4 := a.Addr().As4()
-	copy(b[:], a4[:])
-	binary.BigEndian.PutUint16(b[4:], a.Port())
-	return xxh3.Hash(b[:])
-}
-
 func addSeeds(seeds []netip.AddrPort, self netip.AddrPort, more []netip.AddrPort) []netip.AddrPort {
 	for _, a := range more {
 		if a != self && !slices.Contains(seeds, a) {
--- a/internal/platformstand/record.go
+++ b/internal/platformstand/record.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -65,7 +67,7 @@
 func (r *Record) Broken() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]string{}, r.broken...)
+	return slices.Clone(r.broken)
 }
 
 func (r *Record) breaks(format string, args ...any) {
@@ -101,7 +103,7 @@
 	r.flows[k] = &seenFlow{host: h, took: took}
 	ever, now := false, false
 	for i, v := range r.versions {
-		allowed := contains(v.allow[k.Route], h.Service)
+		allowed := slices.Contains(v.allow[k.Route], h.Service)
 		ever = ever || allowed
 		replaced := i+1 < len(r.versions) && sent.Sub(r.versions[i+1].acked) > r.bounds.Config
 		now = now || allowed && !replaced
@@ -207,11 +209,7 @@
 func (r *Record) Failures() map[string]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	reasons := make(map[string]int)
-	for reason, n := range r.reasons {
-		reasons[reason] = n
-	}
-	return reasons
+	return maps.Clone(r.reasons)
 }
 
 func after(times []time.Time, since time.Time) (n int) {
@@ -222,12 +220,3 @@
 	}
 	return n
 }
-
-func contains(list []string, s string) bool {
-	for _, e := range list {
-		if e == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/platformstand/site.go
+++ b/internal/platformstand/site.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -136,7 +137,7 @@
 			"name": name, "hostname": at.Addr().String(), "path-prefix": fmt.Sprintf("/%d/", at.Port), "service": service,
 		})
 		allow[at] = []string{service}
-		if contains(active, name) {
+		if slices.Contains(active, name) {
 			used = append(used, at)
 		}
 	}
--- a/internal/roster/digest.go
+++ b/internal/roster/digest.go
@@ -60,8 +60,12 @@
 	return r.Members(func(m *Member) bool { return bucketOf(m.Addr) == bucket })
 }
 
-func bucketOf(a netip.AddrPort) int {
+// AddrHash returns a hash of an IPv4 address and port that is the same on every
+// daemon.
+func AddrHash(a netip.AddrPort) uint64 {
 	a4 := a.Addr().As4()
 	p := a.Port()
-	return int(xxh3.Hash([]byte{a4[0], a4[1], a4[2], a4[3], byte(p >> 8), byte(p)}) % BucketCount)
+	return xxh3.Hash([]byte{a4[0], a4[1], a4[2], a4[3], byte(p >> 8), byte(p)})
 }
+
+func bucketOf(a netip.AddrPort) int { return int(AddrHash(a) % BucketCount) }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"time"
 
 	"skylarkturn/internal/packet"
 )
@@ -43,9 +42,8 @@
 
 // Config is one version of the configuration.
 type Config struct {
-	Version     uint64        `cbor:"1,keyasint"` // rises with each change
-	Routes      []Route       `cbor:"2,keyasint"`
-	IdleTimeout time.Duration `cbor:"3,keyasint"` // after which a flow may be discarded; 0 is never
+	Version uint64  `cbor:"1,keyasint"` // rises with each change
+	Routes  []Route `cbor:"2,keyasint"`
 }
 
 // KindInvalid is the kind of errors for a configuration that can't be used.
--- a/internal/steering/lookup.go
+++ b/internal/steering/lookup.go
@@ -28,7 +28,7 @@
 	if len(t.targets) <= smallFleet {
 		first = t.unasked(l, smallFleet)
 	}
-	l.waiting = slices.DeleteFunc(first, func(a netip.AddrPort) bool { return contains(refused, a) })
+	l.waiting = slices.DeleteFunc(first, func(a netip.AddrPort) bool { return slices.Contains(refused, a) })
 	if len(l.waiting) == 0 {
 		return t.conclude(now, k, f, out)
 	}
@@ -59,7 +59,7 @@
 // Returns up to n agents that have not been asked yet.
 func (t *Table) unasked(l *lookup, n int) (agents []netip.AddrPort) {
 	for a := range t.targets {
-		if !contains(l.waiting, a) && !contains(l.refused, a) {
+		if !slices.Contains(l.waiting, a) && !slices.Contains(l.refused, a) {
 			agents = append(agents, a)
 		}
 	}
@@ -80,7 +80,7 @@
 // can't tell otherwise.
 func (t *Table) question(k packet.Key, f *flow, agent netip.AddrPort) Action {
 	x := Action{Verb: Send, Cause: LookedUp, Flow: k, Agent: agent, Kind: parcel.Ask, ClientAck: f.ack}
-	if contains(f.lookup.unsure, agent) {
+	if slices.Contains(f.lookup.unsure, agent) {
 		x.Packet = slices.MinFunc(f.lookup.held, func(a, b []byte) int { return len(a) - len(b) })
 	}
 	return x
@@ -88,11 +88,11 @@
 
 func (t *Table) refusedLookup(now time.Time, from netip.AddrPort, h *parcel.Header, f *flow, out []Action) []Action {
 	l, k := f.lookup, h.Flow
-	if l == nil || contains(l.refused, from) {
+	if l == nil || slices.Contains(l.refused, from) {
 		return out
 	}
 	if h.Reason == parcel.Unsure {
-		if !contains(l.unsure, from) {
+		if !slices.Contains(l.unsure, from) {
 			l.unsure = append(l.unsure, from)
 			return append(out, t.question(k, f, from))
 		}
--- a/internal/steering/place.go
+++ b/internal/steering/place.go
@@ -47,7 +47,7 @@
 	if !ok {
 		return append(out, Action{Verb: Reset, Cause: NoTarget, Flow: k, ClientAck: clientAck})
 	}
-	ranked := t.services[service].rank(hash, func(n *target) bool { return n.open() && !contains(f.tried, n.Agent) })
+	ranked := t.services[service].rank(hash, func(n *target) bool { return n.open() && !slices.Contains(f.tried, n.Agent) })
 	best := ranked.lightest()
 	if best == nil {
 		return append(out, t.unplaced(now, k, f, service, clientAck, raw))
--- a/internal/steering/target.go
+++ b/internal/steering/target.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	flowid "skylarkturn/internal/flow" // steering has flows of its own
 	"skylarkturn/internal/packet"
 )
 
@@ -56,15 +57,7 @@
 
 func agentHash(a netip.AddrPort) uint64 {
 	e := packet.EndpointOf(a)
-	return mix(uint64(e.IP)<<16 | uint64(e.Port))
-}
-
-// Finalizer of SplitMix64.
-func mix(x uint64) uint64 {
-	x += 0x9e3779b97f4a7c15
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return flowid.Mix(uint64(e.IP)<<16 | uint64(e.Port))
 }
 
 // ranking holds the targets with the highest rendezvous scores for one flow, in
@@ -116,7 +109,7 @@
 	}
 	hash = bits.RotateLeft64(hash, 32)
 	for i, h := range g.hashes {
-		score := mix(hash ^ h)
+		score := flowid.Mix(hash ^ h)
 		if score > r.scores[choices-1] && keep(g.targets[i]) {
 			r.add(g.targets[i], score)
 		}
@@ -134,5 +127,3 @@
 	}
 	return best
 }
-
-func contains(list []netip.AddrPort, a netip.AddrPort) bool { return slices.Contains(list, a) }
