Keep open flows in the store, to reset them after a loss of power

Cause: after a loss of all power the sessions of before are open only at their clients.

Ruled out: guessing the flows (nobody else has them: balancers and agents lose power together), pacing of resets (each costs its request anyway), the balancers' caches (lost, too).

An agent now writes its host's lasting flows (16 bytes each) to the store when an eighth of them is new, every 4 s at most, slower in large fleets; the one that starts again resets them as soon as the host of that time is known to have ended: a report of a later incarnation, a refused connection, a farewell. A late report of an older host resets nothing.

--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -101,6 +101,7 @@
 	t.host, t.registered, t.heard = r, true, now
 	if same {
 		t.silence = silence{}
+		out = t.endReplaced(r.Seq > old.Seq, out)
 		if old.State != r.State || old.Service != r.Service {
 			return Changed, out
 		}
@@ -115,7 +116,7 @@
 	if known || t.isYoung(r) {
 		t.complete = true // what the host holds has come through this process
 	}
-	return Joined, out
+	return Joined, t.endReplaced(t.isYoung(r), out)
 }
 
 type incarnation struct {
--- a/internal/flowtable/outbound.go
+++ b/internal/flowtable/outbound.go
@@ -31,6 +31,7 @@
 		return nil
 	}
 	f := t.add(now, k)
+	f.clientAck = p.Seq // the client has acknowledged little less
 	if !p.Accepts() {
 		f.state = open
 	}
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -29,6 +29,7 @@
 	t     *testing.T
 	table *Table
 	now   time.Time
+	saved Snapshot // last one asked for
 }
 
 const beatEvery = 1200 * time.Millisecond
@@ -79,6 +80,10 @@
 		return r.fromHost(c)
 	case "suspicious":
 		return []string{fmt.Sprint(r.table.Suspicious(r.now))}
+	case "recall": // recall h1 c1=ACK c2=ACK [born=MS]
+		return r.recall(c)
+	case "snapshot":
+		return r.snapshot()
 	case "checked":
 		results := map[string]CheckResult{"unclear": HostUnclear, "listening": HostListening, "absent": HostAbsent}
 		return r.show(r.table.Checked(r.now.Add(time.Nanosecond), results[c.Arg(0)], c.Opts["service"], nil))
@@ -88,6 +93,30 @@
 	return script.Unknown(r.t, c)
 }
 
+func (r *runner) recall(c script.Command) []string {
+	s := Snapshot{HostID: c.Arg(0), Flows: make(map[packet.Key]uint32)}
+	for name := range c.Opts {
+		if name == "born" {
+			s.Born = int64(c.Int(r.t, name))
+			continue
+		}
+		s.Flows[packet.Key{Client: client(r.t, name), Route: listen}] = uint32(c.Int(r.t, name))
+	}
+	return r.show(r.table.Recall(s, nil))
+}
+
+func (r *runner) snapshot() []string {
+	s := r.table.Snapshot(r.now)
+	outdates := s.Outdates(r.saved)
+	r.saved = s
+	shown := []string{fmt.Sprintf("host=%s changed=%v", s.HostID, outdates)}
+	for k, ack := range s.Flows {
+		shown = append(shown, fmt.Sprintf("kept %s ack=%d", clientName(k), ack))
+	}
+	slices.Sort(shown)
+	return shown
+}
+
 // report ID SERVICE ready|draining [born=MS] [seq=N] [warmup=MS]
 func (r *runner) report(c script.Command) []string {
 	h := Report{ID: c.Arg(0), Service: c.Arg(1), State: HostReady, Born: int64(c.Int(r.t, "born")), Seq: uint64(c.Int(r.t, "seq")), Slots: 4}
--- a/internal/flowtable/silence.go
+++ b/internal/flowtable/silence.go
@@ -52,9 +52,9 @@
 func (r CheckResult) String() string { return [...]string{"unclear", "listening", "absent"}[r%3] }
 
 // Checked takes the result of a connection attempt to the host that began at the
-// given time. An absent host has no flows of before any more. A host that takes connections but has never been heard
-// of by this process, which has started again beside it, counts as ready for the
-// service until its next heartbeat.
+// given time. An absent host has no flows of before any more. A host that takes
+// connections but has never been heard of by this process, which has started
+// again beside it, counts as ready for the service until its next heartbeat.
 func (t *Table) Checked(began time.Time, r CheckResult, service string, out []Action) []Action {
 	t.silence = silence{}
 	if r == HostListening && t.host.ID == "" && service != "" {
@@ -65,6 +65,8 @@
 	}
 	t.registered = false
 	t.complete = true
+	t.absent = true
+	out = t.endEarlier(HostEnded, out)
 	for k, q := range t.questions {
 		out = append(out, refusal(k, q.from, parcel.Ask, parcel.NotHeld, nil))
 	}
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -61,6 +61,8 @@
 	flows      map[packet.Key]*flow
 	questions  map[packet.Key]question // put to the host
 	retired    map[incarnation]bool    // incarnations of the host that have ended
+	earlier    Snapshot                // written before this process started
+	absent     bool                    // the host of that time has ended
 	live       int                     // flows that are not closed
 	busy       int
 	evictions  uint64
@@ -175,6 +177,7 @@
 	if t.left && !t.leaveAt.IsZero() && now.After(t.leaveAt) {
 		t.leaveAt = time.Time{}
 		out = t.endAll(HostLeft, out)
+		out = t.endEarlier(HostLeft, out)
 		t.complete = true
 	}
 	if !t.complete && now.Sub(t.started) > completeAfter {
--- a/internal/hostside/agent.go
+++ b/internal/hostside/agent.go
@@ -48,6 +48,7 @@
 type Platform struct {
 	Balancers registry.Store
 	Agents    registry.Store
+	Snapshots Snapshots
 	Format    packet.Format
 	Ready     func(ready func() bool) http.Handler
 	Hosts     func(*Agent) http.Handler // takes the host's heartbeats
@@ -162,6 +163,7 @@
 	g.Go(func() error { return a.register(running) })
 	g.Go(func() error { return a.seekBalancers(running) })
 	g.Go(func() error { return a.checkHost(running) })
+	g.Go(func() error { return a.keepSnapshot(running) })
 	g.Go(func() error { return a.servers.Serve(running) })
 	g.Go(func() error {
 		select {
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -33,6 +33,7 @@
 	answered  time.Time // last answer of an observer
 	started   time.Time
 	beaten    time.Time
+	fleet     int // daemons that the last answer told of
 }
 
 // NewAgent returns the membership of an agent that starts now.
@@ -49,6 +50,10 @@
 // Observers returns the number of balancers that heartbeats go to.
 func (a *Agent) Observers() int { return len(a.observers) }
 
+// Fleet returns the number of daemons that balancers know, 0 before any has
+// answered.
+func (a *Agent) Fleet() int { return a.fleet }
+
 // Lone reports whether no balancer has answered for some time.
 func (a *Agent) Lone(now time.Time) bool {
 	last := a.answered
@@ -132,7 +137,7 @@
 	if m.Kind != control.Ack {
 		return nil
 	}
-	a.answered = now
+	a.answered, a.fleet = now, m.Count
 	fresh := a.name(now, m.From.Addr)
 	for _, o := range m.Observers {
 		fresh = a.name(now, o) || fresh
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -180,6 +180,7 @@
 	ack := b.message(control.Ack, nil)
 	ack.Believed = known.State
 	ack.Known = known.Incarnation
+	ack.Count = b.members.Len()
 	for _, o := range observers {
 		ack.Observers = append(ack.Observers, o.Addr)
 	}
