Look in the registry at once when a daemon starts alone

Ruled out: late heartbeats of hosts (first reports at 35.603 s), the interval of agents that seek (50 ms).

An agent that starts again asks at once, by a list that may be stale and costs a tenth of a call; a first start and balancers wait 150 ms for seeds. Tries back off from 0.3 to 3 s.

--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"skylarkturn/internal/pace"
 )
 
 const (
-	seedsAfter    = 2 * time.Second // without a peer, after which the registry is asked
-	seedsRetry    = 2 * time.Second
+	seedsAfter    = 150 * time.Millisecond // from the start; peers that run answer in less
+	minSeedsRetry = 300 * time.Millisecond
+	maxSeedsRetry = 3 * time.Second
 	departedEvery = 500 * time.Millisecond // between looks for agents to take out of the registry
 )
 
@@ -19,14 +19,17 @@
 func (b *Balancer) keepRegistered(ctx context.Context) error {
 	b.balancers.Register(ctx, b.cfg.Name, b.inner.Addr())
 	pace.Sleep(ctx, seedsAfter)
+	retry := pace.Backoff{Min: minSeedsRetry, Max: maxSeedsRetry}
 	for ctx.Err() == nil {
 		b.mu.Lock()
 		alone := b.members.Alone()
 		b.mu.Unlock()
 		if alone {
 			b.AddSeeds(b.balancers.Recent(ctx))
+		} else {
+			retry.Reset()
 		}
-		pace.Sleep(ctx, seedsRetry+rand.N(seedsRetry))
+		retry.Sleep(ctx)
 	}
 	return nil
 }
--- a/internal/hostside/registry.go
+++ b/internal/hostside/registry.go
@@ -2,15 +2,15 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"skylarkturn/internal/pace"
 )
 
 const (
-	seedsAfter = 2 * time.Second // without an answer, after which the registry is asked
-	seedsRetry = 2 * time.Second
+	seedsAfter    = 150 * time.Millisecond // from the first start; seeds that run answer in less
+	minSeedsRetry = 300 * time.Millisecond
+	maxSeedsRetry = 3 * time.Second
 )
 
 // Registers the agent once it has a host; before, it holds no flow that balancers
@@ -24,17 +24,23 @@
 	return nil
 }
 
-// Looks in the registry for balancers while none answers.
+// Looks in the registry for balancers while none answers: seeds may name none
+// that runs.
 func (a *Agent) seekBalancers(ctx context.Context) error {
-	pace.Sleep(ctx, seedsAfter)
+	if a.cfg.FirstStart {
+		pace.Sleep(ctx, seedsAfter) // the registry is empty yet
+	}
+	retry := pace.Backoff{Min: minSeedsRetry, Max: maxSeedsRetry}
 	for ctx.Err() == nil {
 		a.mu.Lock()
 		lone := a.members.Lone(time.Now())
 		a.mu.Unlock()
 		if lone {
 			a.AddSeeds(a.balancers.Recent(ctx))
+		} else {
+			retry.Reset()
 		}
-		pace.Sleep(ctx, seedsRetry+rand.N(seedsRetry))
+		retry.Sleep(ctx)
 	}
 	return nil
 }
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -54,13 +54,10 @@
 // answered.
 func (a *Agent) Fleet() int { return a.fleet }
 
-// Lone reports whether no balancer has answered for some time.
+// Lone reports whether no balancer observes the agent, or none has answered for
+// some time.
 func (a *Agent) Lone(now time.Time) bool {
-	last := a.answered
-	if last.IsZero() {
-		last = a.started
-	}
-	return now.Sub(last) >= loneAfter
+	return len(a.observers) == 0 || now.Sub(a.answered) >= loneAfter
 }
 
 // Seeking reports whether the agent has just started and no balancer has answered
@@ -109,7 +106,7 @@
 		}
 		out = append(out, Outgoing{o.addr, a.heartbeat(ask)})
 	}
-	if len(a.observers) > 0 && !a.Lone(now) {
+	if !a.Lone(now) {
 		return out
 	}
 	for _, s := range a.seeds {
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -115,6 +115,11 @@
 		return []string{fmt.Sprint(n.balancers[c.Arg(0)].Isolated(n.now))}
 	case "members":
 		return []string{n.members(c.Arg(0))}
+	case "lone": // lone a1
+		return []string{fmt.Sprint(n.agents[c.Arg(0)].Lone(n.now))}
+	case "seeds": // seeds a1 b1,b2
+		n.agents[c.Arg(0)].AddSeeds(n.addrs(c.Arg(1)))
+		return nil
 	case "observers":
 		return []string{n.observers(c.Arg(0))}
 	default:
