Let new flows wait while the hosts of a service are crowded

Cause: after a loss of power all clients come back within some tenths of a second to hosts that are still slow.

Ruled out: uneven placement alone (all hosts shed), a bound at the balancers (they hear of requests in progress every 0.4 s; the agent knows at once).

An agent refuses a new flow while its host has three requests a slot. The balancer tries others, gives a crowded target one flow a slot in 50 ms, and keeps the opening packet up to 0.6 s, oldest first; then it refuses at once. Ticks begin 50 ms after the first flow waits, not at the next of 200 ms.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -96,6 +96,7 @@
 	version  atomic.Uint64 // of the configuration in force
 	lastIn   atomic.Int64  // Unix nanoseconds of the last packet of a client
 	newer    chan struct{}
+	pending  chan struct{} // the first flow waits
 
 	mu       sync.Mutex // guards what follows
 	steer    *steering.Table
@@ -128,6 +129,7 @@
 		started:  now,
 		peers:    newPeerClient(),
 		newer:    make(chan struct{}, 1),
+		pending:  make(chan struct{}, 1),
 		steer:    steering.New(),
 		ring:     trace.NewRing(ringSize),
 		lines:    trace.NewBudget(linesPerSecond),
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -24,7 +24,9 @@
 		return out
 	}
 	b.mu.Lock()
+	pending := b.steer.Pending()
 	out = b.steer.Packet(now, &h, raw, out)
+	b.wakeTicks(pending)
 	b.mu.Unlock()
 	b.act(out)
 	return out
@@ -59,7 +61,9 @@
 		b.counters.refused[h.Reason].Inc()
 	}
 	b.mu.Lock()
+	pending := b.steer.Pending()
 	out := b.steer.Answer(time.Now(), from, h, p, content, nil)
+	b.wakeTicks(pending)
 	b.mu.Unlock()
 	b.act(out)
 }
--- a/internal/entry/members.go
+++ b/internal/entry/members.go
@@ -19,11 +19,29 @@
 // Drives what depends on time.
 func (b *Balancer) keepTime(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pace.Sleep(ctx, b.tick(time.Now()))
+		due := time.NewTimer(b.tick(time.Now()))
+		select {
+		case <-ctx.Done():
+		case <-due.C:
+		case <-b.pending:
+			pace.Sleep(ctx, lookupTick)
+		}
+		due.Stop()
 	}
 	return nil
 }
 
+// Wakes keepTime when the first flow waits; called with mu held.
+func (b *Balancer) wakeTicks(pendingBefore int) {
+	if pendingBefore > 0 || b.steer.Pending() == 0 {
+		return
+	}
+	select {
+	case b.pending <- struct{}{}:
+	default:
+	}
+}
+
 // Does what is due, and returns the time until the next tick.
 func (b *Balancer) tick(now time.Time) time.Duration {
 	b.mu.Lock()
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -117,9 +117,12 @@
 	return shown
 }
 
-// report ID SERVICE ready|draining [born=MS] [seq=N] [warmup=MS]
+// report ID SERVICE ready|draining [born=MS] [seq=N] [slots=N]
 func (r *runner) report(c script.Command) []string {
 	h := Report{ID: c.Arg(0), Service: c.Arg(1), State: HostReady, Born: int64(c.Int(r.t, "born")), Seq: uint64(c.Int(r.t, "seq")), Slots: 4}
+	if _, ok := c.Opts["slots"]; ok {
+		h.Slots = c.Int(r.t, "slots")
+	}
 	if c.Has("draining") {
 		h.State = HostDraining
 	}
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -63,6 +63,7 @@
 	retired    map[incarnation]bool    // incarnations of the host that have ended
 	earlier    Snapshot                // written before this process started
 	absent     bool                    // the host of that time has ended
+	openings   []time.Time             // when flows were given to the host that have not opened, the oldest first
 	live       int                     // flows that are not closed
 	busy       int
 	evictions  uint64
@@ -108,6 +109,7 @@
 			return append(out, refusal(k, from, h.Kind, parcel.NotHeld, raw)) // another host's flow
 		}
 		f.state = open
+		t.opened()
 	}
 	f.via, f.used = from, now
 	t.clientSent(f, p)
@@ -141,7 +143,11 @@
 		if reason := t.accepts(h.Service); reason != 0 {
 			return append(out, refusal(k, from, parcel.Deliver, reason, raw))
 		}
+		if t.crowded(now) {
+			return append(out, refusal(k, from, parcel.Deliver, parcel.Crowded, raw))
+		}
 		f = t.add(now, k)
+		t.openings = append(t.openings, now)
 	}
 	f.via, f.used = from, now
 	return append(out, Action{Verb: ToHost, Cause: Usual, Flow: k, Packet: raw})
--- a/internal/parcel/parcel.go
+++ b/internal/parcel/parcel.go
@@ -37,9 +37,10 @@
 	NoHost                         // no host has registered
 	WrongService                   // the host belongs to another service
 	Unsure                         // the host alone can tell, by a packet of the flow
+	Crowded                        // the host has as many requests waiting as it should
 )
 
-var reasonNames = [...]string{"unknown", "not_held", "full", "draining", "no_host", "wrong_service", "unsure"}
+var reasonNames = [...]string{"unknown", "not_held", "full", "draining", "no_host", "wrong_service", "unsure", "crowded"}
 
 // Reasons is the number of reasons, for tables indexed by them.
 const Reasons = len(reasonNames)
--- a/internal/steering/place.go
+++ b/internal/steering/place.go
@@ -47,13 +47,15 @@
 	if !ok {
 		return append(out, Action{Verb: Reset, Cause: NoTarget, Flow: k, ClientAck: clientAck})
 	}
-	ranked := t.services[service].rank(hash, func(n *target) bool { return n.open() && !slices.Contains(f.tried, n.Agent) })
+	ranked := t.services[service].rank(hash, func(n *target) bool {
+		return n.open() && !n.crowded(now) && !slices.Contains(f.tried, n.Agent)
+	})
 	best := ranked.lightest()
 	if best == nil {
 		return append(out, t.unplaced(now, k, f, service, clientAck, raw))
 	}
 	f.owner = best.Agent
-	best.placed++
+	best.give(now)
 	cause := Placed
 	if len(f.tried) > 0 {
 		cause = PlacedAgain
@@ -64,11 +66,10 @@
 // Decides on a new flow that no target takes: it waits where one may take it
 // soon, and is refused at once where none will.
 func (t *Table) unplaced(now time.Time, k packet.Key, f *flow, service string, clientAck uint32, raw []byte) Action {
-	g := t.services[service]
-	coming := g != nil && slices.ContainsFunc(g.targets, func(n *target) bool { return n.coming(now) })
+	coming, crowded := t.services[service].prospects(now)
 	switch {
-	case coming:
-	case len(f.tried) > 0:
+	case coming || crowded && now.Sub(f.since) < crowdedWait:
+	case crowded || len(f.tried) > 0:
 		f.tried = f.tried[:0] // a later copy may try them again
 		return Action{Verb: Reset, Cause: AllRefused, Flow: k, ClientAck: clientAck}
 	case t.settled:
@@ -86,6 +87,22 @@
 	return Action{Verb: Drop, Cause: Unsettled, Flow: k}
 }
 
+// Tries again to place the flows whose opening packets are parked, in the order
+// in which these came.
+func (t *Table) unparkAll(now time.Time, out []Action) []Action {
+	waiting := make([]packet.Key, 0, len(t.pending))
+	for k, f := range t.pending {
+		if f.parked != nil {
+			waiting = append(waiting, k)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b packet.Key) int { return t.pending[a].parked.since.Compare(t.pending[b].parked.since) })
+	for _, k := range waiting {
+		out = t.unpark(now, k, t.pending[k], out)
+	}
+	return out
+}
+
 // Tries again to place a flow whose opening packet is parked.
 func (t *Table) unpark(now time.Time, k packet.Key, f *flow, out []Action) []Action {
 	p := f.parked
@@ -107,12 +124,19 @@
 }
 
 func (t *Table) refusedOpening(now time.Time, from netip.AddrPort, h *parcel.Header, f *flow, p *packet.Head, raw []byte, out []Action) []Action {
-	if n := t.targets[from]; n != nil && h.Reason != parcel.Full {
+	n := t.targets[from]
+	crowded := n != nil && h.Reason == parcel.Crowded
+	switch {
+	case crowded:
+		n.crowd.refused = now
+	case n != nil && h.Reason != parcel.Full:
 		n.refusing = true
 	}
 	if f.owner != from || t.routes.Lookup(h.Flow.Route) == nil {
 		return out
 	}
-	f.tried = append(f.tried, from)
+	if !crowded {
+		f.tried = append(f.tried, from)
+	}
 	return t.place(now, h.Flow, f, p.Ack, raw, out)
 }
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -32,6 +32,7 @@
 	opened bool           // the client has sent more than the opening packet, and not its last
 	copies uint32         // number of the newest copy of the opening packet
 	tried  []netip.AddrPort
+	since  time.Time
 	used   time.Time
 	ack    uint32    // the client's newest acknowledgement number
 	lost   time.Time // when no agent held it
@@ -245,10 +246,8 @@
 // used.
 func (t *Table) Tick(now time.Time, out []Action) []Action {
 	t.budget = asksPerTick
+	out = t.unparkAll(now, out)
 	for k, f := range t.pending {
-		if f.parked != nil {
-			out = t.unpark(now, k, f, out)
-		}
 		if f.lookup != nil {
 			out = t.continueLookup(now, k, f, out)
 		}
@@ -273,7 +272,7 @@
 			break
 		}
 	}
-	f := &flow{used: now}
+	f := &flow{since: now, used: now}
 	t.flows[k] = f
 	return f
 }
--- a/internal/steering/target.go
+++ b/internal/steering/target.go
@@ -33,6 +33,42 @@
 	placed   uint32    // flows placed here since its last heartbeat
 	refusing bool      // has refused a new flow since its last heartbeat
 	since    time.Time // since when it has been coming
+	crowd    crowd
+}
+
+const (
+	crowdedFor   = 50 * time.Millisecond  // time that a crowded target gets no new flows; it ends some requests in it
+	crowdingFor  = 500 * time.Millisecond // time for which it then gets them slowly
+	crowdedPause = 50 * time.Millisecond  // in which a crowding target gets one flow for each slot
+	crowdedWait  = 600 * time.Millisecond // that a new flow waits at most for a crowded service
+)
+
+// crowd tells how a target that has refused new flows for its load gets others.
+type crowd struct {
+	refused time.Time // last refusal
+	began   time.Time // of the current pause
+	given   float64   // flows since then
+}
+
+// Reports whether the target is to get no new flow now, but soon.
+func (t *target) crowded(now time.Time) bool {
+	since := now.Sub(t.crowd.refused)
+	switch {
+	case since < crowdedFor:
+		return true
+	case since >= crowdingFor:
+		return false
+	}
+	return now.Sub(t.crowd.began) < crowdedPause && t.crowd.given >= t.Weight
+}
+
+// Counts a new flow given to the target.
+func (t *target) give(now time.Time) {
+	t.placed++
+	if now.Sub(t.crowd.began) >= crowdedPause {
+		t.crowd.began, t.crowd.given = now, 0
+	}
+	t.crowd.given++
 }
 
 // comingFor is the time that a target which does not take new flows yet is waited
@@ -102,6 +138,19 @@
 	}
 }
 
+// Reports whether targets are coming, and whether crowded ones will take new
+// flows.
+func (g *group) prospects(now time.Time) (coming, crowded bool) {
+	if g == nil {
+		return false, false
+	}
+	for _, n := range g.targets {
+		coming = coming || n.coming(now)
+		crowded = crowded || n.open() && n.crowded(now)
+	}
+	return coming, crowded
+}
+
 // Ranks the targets for which keep is true.
 func (g *group) rank(hash uint64, keep func(*target) bool) (r ranking) {
 	if g == nil {
