Have one balancer check the store, and let watches wait long

Ruled out: long watches alone (a compaction may leave all of them deaf, and a configuration has 3 s), one fixed checker (the store may turn it away).

Watches wait 20 s. A balancer that has checked does so again after 1.5 s and tells its peers in its gossip; others take over when they have not heard of a check for 2.0 to 2.4 s. A check that finds what the watch has missed ends the watch.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -56,6 +56,8 @@
 	Loads       []Load           `cbor:"10,keyasint,omitempty"`
 	Observers   []netip.AddrPort `cbor:"11,keyasint,omitempty"` // balancers that the agent is to send heartbeats to
 	CheckedAgo  uint32           `cbor:"13,keyasint,omitempty"` // milliseconds since the sender's configuration was known to be the platform's; 0 is unknown
+	Check       uint64           `cbor:"20,keyasint,omitempty"` // number of the check that CheckedAgo tells the age of
+	Checker     bool             `cbor:"21,keyasint,omitempty"` // the sender has made that check
 	Version     uint64           `cbor:"17,keyasint,omitempty"` // configuration version in force at the sender
 	Settled     bool             `cbor:"19,keyasint,omitempty"` // the sender knows all members
 	Known       uint64           `cbor:"18,keyasint,omitempty"` // incarnation that the sender has for the receiver
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -18,7 +18,8 @@
 )
 
 const (
-	watchWait   = 2 * time.Second // bounds how long a watch that hears nothing goes unnoticed
+	watchWait   = 20 * time.Second // checks find out when a watch hears nothing
+	checkWait   = time.Millisecond // of a watch that only checks
 	minRetry    = 100 * time.Millisecond
 	maxRetry    = time.Second
 	peerTimeout = time.Second
@@ -51,28 +52,32 @@
 	return nil
 }
 
-// Follows the configuration in the store.
+// Follows the configuration in the store by a watch.
 func (b *Balancer) followStore(ctx context.Context) error {
 	var revision uint64
 	retry := pace.Backoff{Min: minRetry, Max: maxRetry}
-	lost := false
 	for ctx.Err() == nil {
-		next, err := b.followOnce(ctx, revision)
+		watch, cancel := context.WithCancel(ctx)
+		b.mu.Lock()
+		b.endWatch = cancel
+		b.mu.Unlock()
+		next, err := b.followOnce(watch, revision, watchWait)
+		ended := watch.Err() != nil
+		cancel()
 		if err == nil {
-			if lost {
+			if b.storeLost.Swap(false) {
 				b.log.Info().Str("event", "store_regained").Msg("")
 			}
-			revision, lost = next, false
+			revision = next
 			retry.Reset()
 			continue
 		}
 		revision = 0 // a new list shows what a lost watch may have missed
-		if platform.IsKind(err, platform.KindCompacted) || ctx.Err() != nil {
+		if platform.IsKind(err, platform.KindCompacted) || ended {
 			continue
 		}
 		b.counters.storeErrors.Inc()
-		if !lost {
-			lost = true
+		if !b.storeLost.Swap(true) {
 			b.log.Warn().Str("event", "store_lost").Err(err).Msg("")
 		}
 		retry.Sleep(ctx)
@@ -80,7 +85,47 @@
 	return nil
 }
 
-func (b *Balancer) followOnce(ctx context.Context, since uint64) (uint64, error) {
+// Checks the configuration against the store when it is this balancer's turn,
+// for the case that watches hear nothing.
+func (b *Balancer) checkStore(ctx context.Context) error {
+	var revision uint64
+	retry := pace.Backoff{Min: minRetry, Max: maxRetry}
+	for ctx.Err() == nil {
+		b.mu.Lock()
+		due := time.Until(b.members.CheckAt())
+		b.mu.Unlock()
+		if b.storeLost.Load() {
+			due = maxRetry // followStore asks already
+		}
+		if due > 0 {
+			pace.Sleep(ctx, due)
+			continue
+		}
+		next, err := b.checkOnce(ctx, revision)
+		revision = next
+		if err == nil {
+			retry.Reset()
+		} else if !platform.IsKind(err, platform.KindCompacted) {
+			b.counters.storeErrors.Inc()
+			retry.Sleep(ctx)
+		}
+	}
+	return nil
+}
+
+// Checks once; a version that the watch has missed ends the watch.
+func (b *Balancer) checkOnce(ctx context.Context, since uint64) (uint64, error) {
+	before := b.version.Load()
+	next, err := b.followOnce(ctx, since, checkWait)
+	if err == nil && b.version.Load() > before {
+		b.mu.Lock()
+		b.endWatch()
+		b.mu.Unlock()
+	}
+	return next, err
+}
+
+func (b *Balancer) followOnce(ctx context.Context, since uint64, wait time.Duration) (uint64, error) {
 	var (
 		cfg      route.Config
 		revision uint64
@@ -90,7 +135,7 @@
 	if since == 0 {
 		cfg, revision, ok, err = b.platform.Store.Config(ctx)
 	} else {
-		cfg, revision, ok, err = b.platform.Store.AwaitConfig(ctx, since, watchWait)
+		cfg, revision, ok, err = b.platform.Store.AwaitConfig(ctx, since, wait)
 	}
 	if err != nil {
 		return 0, err
@@ -98,6 +143,11 @@
 	if ok {
 		err = b.accept(cfg, "store")
 	}
+	if err == nil && (ok || since == 0 || wait == checkWait) {
+		b.mu.Lock()
+		b.members.Confirm(time.Now(), wait == checkWait) // a watch without events may have gone deaf
+		b.mu.Unlock()
+	}
 	return revision, err
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -90,13 +90,14 @@
 	servers ops.Servers
 	peers   *http.Client
 
-	ring     *trace.Ring
-	lines    *trace.Budget
-	stopping atomic.Bool
-	version  atomic.Uint64 // of the configuration in force
-	lastIn   atomic.Int64  // Unix nanoseconds of the last packet of a client
-	newer    chan struct{}
-	pending  chan struct{} // the first flow waits
+	ring      *trace.Ring
+	lines     *trace.Budget
+	stopping  atomic.Bool
+	version   atomic.Uint64 // of the configuration in force
+	storeLost atomic.Bool   // the last call that followed the configuration has failed
+	lastIn    atomic.Int64  // Unix nanoseconds of the last packet of a client
+	newer     chan struct{}
+	pending   chan struct{} // the first flow waits
 
 	mu       sync.Mutex // guards what follows
 	steer    *steering.Table
@@ -105,6 +106,7 @@
 	synced   uint64    // version of the members that steer has
 	settled  bool      // whether all members are known
 	isolated bool      // whether no agent is heard any more
+	endWatch func()    // ends the watch of the configuration
 }
 
 // Option changes how New builds a balancer.
@@ -209,6 +211,7 @@
 	g.Go(func() error { return b.inner.Read(running, b) })
 	g.Go(func() error { return b.keepTime(running) })
 	g.Go(func() error { return b.followStore(running) })
+	g.Go(func() error { return b.checkStore(running) })
 	g.Go(func() error { return b.followPeers(running) })
 	g.Go(func() error { return b.keepRegistered(running) })
 	g.Go(func() error { return b.learnAgents(running) })
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -65,6 +65,7 @@
 	settled    bool
 	peers      peerViews
 	heardAgent time.Time // last heartbeat of any agent
+	confirmed  confirmation
 }
 
 // Version is a configuration version that a peer has in force.
@@ -116,7 +117,7 @@
 	}
 	if b.Alone() || now.Sub(b.introduced) >= reintroduceEvery {
 		b.introduced = now
-		out = append(out, b.introductions()...)
+		out = append(out, b.introductions(now)...)
 	}
 	return out
 }
@@ -129,22 +130,22 @@
 func (b *Balancer) tell(now time.Time, n int, members []roster.Member) (out []Outgoing) {
 	for _, p := range b.members.Peers(b.me.Addr, n) {
 		b.members.Await(now, p.Addr)
-		out = append(out, Outgoing{p.Addr, b.message(control.Gossip, members)})
+		out = append(out, Outgoing{p.Addr, b.message(now, control.Gossip, members)})
 	}
 	return out
 }
 
-func (b *Balancer) introductions() (out []Outgoing) {
+func (b *Balancer) introductions(now time.Time) (out []Outgoing) {
 	for _, a := range b.seeds {
 		if m, ok := b.members.Get(a); !ok || !roster.Live(&m) {
-			out = append(out, Outgoing{a, b.message(control.Gossip, nil)})
+			out = append(out, Outgoing{a, b.message(now, control.Gossip, nil)})
 		}
 	}
 	return out
 }
 
-func (b *Balancer) message(kind control.Kind, members []roster.Member) *control.Message {
-	return &control.Message{Kind: kind, From: b.me, Members: members, Digest: b.members.Digest(), Version: b.version, Settled: b.settled}
+func (b *Balancer) message(now time.Time, kind control.Kind, members []roster.Member) *control.Message {
+	return &control.Message{Kind: kind, From: b.me, Members: members, Digest: b.members.Digest(), Version: b.version, Settled: b.settled, CheckedAgo: b.checkedAgo(now), Check: b.confirmed.number, Checker: b.confirmed.here}
 }
 
 // Receive takes a message and returns the answers.
@@ -155,13 +156,16 @@
 	if m.From.Role == roster.Balancer && m.Version > b.newest.Number {
 		b.newest = Version{m.Version, m.From.Addr}
 	}
+	if m.From.Role == roster.Balancer {
+		b.hearCheck(now, m)
+	}
 	switch m.Kind {
 	case control.Heartbeat:
 		return b.heartbeat(now, m)
 	case control.Gossip:
 		return b.receiveGossip(now, m)
 	case control.Repair:
-		return b.push(m)
+		return b.push(now, m)
 	}
 	return nil
 }
@@ -177,7 +181,7 @@
 	if current && !m.Unknown && m.Digest == observersDigest(observers) {
 		return nil
 	}
-	ack := b.message(control.Ack, nil)
+	ack := b.message(now, control.Ack, nil)
 	ack.Believed = known.State
 	ack.Known = known.Incarnation
 	ack.Count = b.members.Len()
@@ -193,12 +197,12 @@
 		b.learn(now, r)
 	}
 	if known, _ := b.members.Get(m.From.Addr); !roster.Live(&known) || known.Incarnation != m.From.Incarnation {
-		return append(out, Outgoing{m.From.Addr, b.message(control.Gossip, []roster.Member{known})})
+		return append(out, Outgoing{m.From.Addr, b.message(now, control.Gossip, []roster.Member{known})})
 	}
 	b.hearView(m)
 	if len(m.Members) == 0 && m.Digest != b.members.Digest() && now.Sub(b.repaired) >= b.repairInterval() {
 		b.repaired = now
-		repair := b.message(control.Repair, nil)
+		repair := b.message(now, control.Repair, nil)
 		repair.Buckets = b.members.Buckets()
 		out = append(out, Outgoing{m.From.Addr, repair})
 	}
@@ -221,14 +225,14 @@
 }
 
 // Sends the records of the buckets that differ from the asker's.
-func (b *Balancer) push(m *control.Message) (out []Outgoing) {
+func (b *Balancer) push(now time.Time, m *control.Message) (out []Outgoing) {
 	var records []roster.Member
 	for _, bucket := range b.members.Differing(m.Buckets, bucketsPerRepair) {
 		records = append(records, b.members.Missing(bucket, nil)...)
 	}
 	for len(records) > 0 {
 		n := min(membersPerMessage, len(records))
-		out = append(out, Outgoing{m.From.Addr, b.message(control.Gossip, records[:n])})
+		out = append(out, Outgoing{m.From.Addr, b.message(now, control.Gossip, records[:n])})
 		records = records[n:]
 	}
 	return out
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -115,6 +115,16 @@
 		return []string{fmt.Sprint(n.balancers[c.Arg(0)].Isolated(n.now))}
 	case "members":
 		return []string{n.members(c.Arg(0))}
+	case "confirm": // confirm b1 [event]
+		n.balancers[c.Arg(0)].Confirm(n.now, !c.Has("event"))
+	case "due": // due: the balancers that are to check the configuration now
+		var due []string
+		for _, name := range slices.Sorted(maps.Keys(n.balancers)) {
+			if !n.now.Before(n.balancers[name].CheckAt()) {
+				due = append(due, name)
+			}
+		}
+		return []string{fmt.Sprint(due)}
 	case "lone": // lone a1
 		return []string{fmt.Sprint(n.agents[c.Arg(0)].Lone(n.now))}
 	case "seeds": // seeds a1 b1,b2
