Do not count requests that clients send again as waiting

Of 11 flows that an agent counted as waiting, 8 had their answer: the client had sent the request again before the answer came, the copy was delivered behind the answer, and the host acknowledged it without data.

Ruled out: real load (48 of 50 requests a host a second in their aim), lost answers (a trace of the packets shows them), clients that left.

A packet whose data the host has acknowledged starts no wait.

Also: garbage is collected at 50 percent growth (peak 5.6 -> 4.7 MB an agent).

--- a/internal/daemon/watched.go
+++ b/internal/daemon/watched.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 
 	"github.com/phuslu/log"
 )
@@ -12,10 +13,16 @@
 	Reload() error // takes over what the file says now
 }
 
+// gcPercent is the growth of the heap, in percent, after which garbage is
+// collected. The heap of a daemon is a few megabytes; with the runtime's 100 it
+// took a sixth more, and no less of the processor.
+const gcPercent = 50
+
 // RunWatched runs the daemon that start returns, with a logger on standard output,
 // and has it reload its settings file whenever that changes. It returns the exit
 // code.
 func RunWatched(name, path string, start func(l *log.Logger) (Watched, error)) int {
+	debug.SetGCPercent(gcPercent)
 	l, w := OutputLogger()
 	defer w.Close()
 	return Run(name, path, l, func(ctx context.Context, l *log.Logger) error {
--- a/internal/flowtable/outbound.go
+++ b/internal/flowtable/outbound.go
@@ -43,6 +43,9 @@
 
 func (t *Table) hostSent(now time.Time, k packet.Key, f *flow, p *packet.Head, out []Action) []Action {
 	f.used = now
+	if p.Flags.Has(packet.ACK) {
+		f.hostAck, f.heard = p.Ack, true
+	}
 	if q, ok := t.questions[k]; ok {
 		delete(t.questions, k)
 		out = append(out, owned(k, q.from))
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -139,9 +139,9 @@
 	return f
 }
 
-// client b1 c1 syn|ack|fin|rst [ask] [service=NAME] [ack=N] [len=N]
+// client b1 c1 syn|ack|fin|rst [ask] [service=NAME] [seq=N] [ack=N] [len=N]
 func (r *runner) fromClient(c script.Command) []string {
-	p := packet.Head{Flags: flagsOf(c), Src: client(r.t, c.Arg(1)), Dst: listen, Ack: uint32(c.Int(r.t, "ack")), DataLen: c.Int(r.t, "len")}
+	p := packet.Head{Flags: flagsOf(c), Src: client(r.t, c.Arg(1)), Dst: listen, Seq: uint32(c.Int(r.t, "seq")), Ack: uint32(c.Int(r.t, "ack")), DataLen: c.Int(r.t, "len")}
 	h := parcel.Header{Kind: parcel.Deliver}
 	if c.Has("ask") {
 		h.Kind = parcel.Ask
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -35,6 +35,8 @@
 	clientFin bool
 	hostFin   bool
 	hostSeq   uint32 // of the host's acceptance
+	hostAck   uint32 // bytes of the client that the host has, up to this number; valid with heard
+	heard     bool   // the host has acknowledged something
 	clientAck uint32
 	via       netip.AddrPort // balancer that sent the last packet
 	since     time.Time      // when it came into the table
@@ -162,11 +164,18 @@
 	return append(out, Action{Verb: ToHost, Cause: Asked, Flow: k, Packet: raw})
 }
 
+// Reports whether the host has had all data of the packet, which the client then
+// sends again: no answer will follow it.
+func (f *flow) hasAlready(p *packet.Head) bool {
+	end := p.Seq + uint32(p.DataLen)
+	return f.heard && int32(end-f.hostAck) <= 0
+}
+
 func (t *Table) clientSent(f *flow, p *packet.Head) {
 	if p.Flags.Has(packet.ACK) {
 		f.clientAck = p.Ack
 	}
-	if p.DataLen > 0 {
+	if p.DataLen > 0 && !f.hasAlready(p) {
 		t.setBusy(f, true)
 	}
 	if p.Flags.Has(packet.FIN) {
