Hold the ports of a stand-in site while it runs

Cause: TestExplainSilenceOfDarkVM failed once: a host could not bind its UDP port. The site let the kernel choose ports by TCP and gave them back; the kernel then may give the same number to a UDP socket on all addresses, such as those of QUIC clients in tests of other packages, which run beside.

Ruled out: two ports of the site alike (they are chosen while all are open), another site (its addresses differ).

The site now holds each port, for UDP and TCP, at an address that no VM has.

--- a/internal/platformstand/site.go
+++ b/internal/platformstand/site.go
@@ -31,6 +31,7 @@
 	bin, dir string
 	log      io.Writer
 	ports    ports
+	reserved []io.Closer // holds the ports
 	storeURL *httptest.Server
 	fabric   *fabric
 	ctx      context.Context
@@ -80,12 +81,12 @@
 		ctx: ctx, cancel: cancel, rand: rand.New(rand.NewPCG(o.Seed, o.Seed)), firstRun: true,
 		net: [2]byte{byte(64 + os.Getpid()%128), byte(rand.IntN(256))}, allow: make(map[packet.Endpoint][]string),
 	}
-	if err := s.choosePorts(); err != nil {
-		cancel()
-		return nil, err
+	err := s.choosePorts()
+	if err == nil {
+		s.fabric, err = newFabric(s.ports.packets, s.ports.ready)
 	}
-	var err error
-	if s.fabric, err = newFabric(s.ports.packets, s.ports.ready); err != nil {
+	if err != nil {
+		s.release()
 		cancel()
 		return nil, err
 	}
@@ -94,24 +95,66 @@
 	return s, nil
 }
 
+// reservedVM is the number of an address that no VM gets, at which the site holds
+// its ports. As long as it does, the kernel gives none of them to a socket that
+// listens on all addresses, as those of other programs and tests may.
+const reservedVM = 253
+
+// reserveTries bounds the attempts to get a port that is free for UDP, too, or two
+// ports side by side.
+const reserveTries = 100
+
 // Has the kernel choose ports, which are the same on all VMs. The VMs' addresses
 // differ between processes, so that these ports are free there.
 func (s *Site) choosePorts() error {
-	var chosen [7]uint16
-	for i := range chosen {
-		ln, err := net.Listen("tcp4", netip.AddrPortFrom(s.vm(0), 0).String())
-		if err != nil {
-			return &Error{"choose ports", KindNetwork, err}
+	var err error
+	for _, port := range []*uint16{&s.ports.packets, &s.ports.ready, &s.ports.control, &s.ports.outbound, &s.ports.app} {
+		if *port, err = s.reserveAny(); err != nil {
+			return err
 		}
-		defer ln.Close()
-		chosen[i] = uint16(ln.Addr().(*net.TCPAddr).Port)
 	}
-	inner := chosen[5]
-	if inner == 65535 {
-		inner = chosen[6]
+	for range reserveTries {
+		if s.ports.inner, err = s.reserveAny(); err != nil {
+			return err
+		}
+		if _, err = s.reserve(s.ports.inner + 1); err == nil {
+			return nil
+		}
+	}
+	return err
+}
+
+func (s *Site) reserveAny() (port uint16, err error) {
+	for range reserveTries {
+		if port, err = s.reserve(0); err == nil {
+			return port, nil
+		}
+	}
+	return 0, err
+}
+
+// Holds a port for UDP and TCP, 0 for any, until the site is closed.
+func (s *Site) reserve(port uint16) (uint16, error) {
+	addr := netip.AddrPortFrom(s.vm(reservedVM), port)
+	ln, err := net.Listen("tcp4", addr.String())
+	if err != nil {
+		return 0, &Error{"reserve port", KindNetwork, err}
+	}
+	s.reserved = append(s.reserved, ln)
+	chosen := ln.Addr().(*net.TCPAddr).AddrPort()
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(chosen))
+	if err != nil {
+		return 0, &Error{"reserve port", KindNetwork, err}
+	}
+	s.reserved = append(s.reserved, conn)
+	return chosen.Port(), nil
+}
+
+// Gives the ports back.
+func (s *Site) release() {
+	for _, c := range s.reserved {
+		_ = c.Close() // nothing was sent
 	}
-	s.ports = ports{chosen[0], chosen[1], chosen[2], chosen[3], chosen[4], inner}
-	return nil
 }
 
 func (s *Site) vm(n byte) netip.Addr {
@@ -254,6 +297,7 @@
 	s.storeURL.CloseClientConnections()
 	s.storeURL.Close()
 	_ = s.fabric.conn.Close() // nobody sends any more
+	s.release()
 	http.DefaultClient.CloseIdleConnections()
 }
 
--- /dev/null
+++ b/internal/platformstand/site_test.go
@@ -0,0 +1,23 @@
+package platformstand
+
+import (
+	"net"
+	"testing"
+
+	"github.com/go-quicktest/qt"
+)
+
+// A UDP client of another test got a port of the site, and a host could not start.
+func TestSiteHoldsItsPorts(t *testing.T) {
+	s, err := NewSite(Options{Dir: t.TempDir()})
+	qt.Assert(t, qt.IsNil(err))
+	defer s.Close()
+	p := s.ports
+	for _, port := range []uint16{p.packets, p.ready, p.control, p.outbound, p.app, p.inner, p.inner + 1} {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{Port: int(port)})
+		qt.Check(t, qt.IsNotNil(err), qt.Commentf("port %d", port))
+		if err == nil {
+			_ = conn.Close()
+		}
+	}
+}
