skylarkctl fleet: status, members, flow and target on the platform

Daemons tell of themselves at /debug/status and, balancers, of all members at /debug/members of their metrics address. skylarkctl fleet starts from one balancer, asks every daemon, shows where balancers differ, and gathers the decisions of all daemons about a flow. Its other commands still need server and certificate, which are checked by the tool in place of the flag parser (same exit code).

Metrics: seconds until a new flow has its target by service, seconds until an owner is found, store calls by kind, call and result, age of the last check of the configuration and of the oldest heartbeat.

--- a/cmd/skylark-agent/platform.go
+++ b/cmd/skylark-agent/platform.go
@@ -16,6 +16,7 @@
 		return hostside.New(agentSettings(s), hostside.Platform{
 			Balancers: store.BalancerRegistry(),
 			Agents:    store.AgentRegistry(),
+			Metrics:   store.WriteMetrics,
 			Snapshots: store.Snapshots(),
 			Format:    platform.Packets{},
 			Ready:     platform.ReadyHandler,
--- a/cmd/skylark-balancer/platform.go
+++ b/cmd/skylark-balancer/platform.go
@@ -17,6 +17,7 @@
 			Store:     store,
 			Balancers: store.BalancerRegistry(),
 			Agents:    store.AgentRegistry(),
+			Metrics:   store.WriteMetrics,
 			Format:    platform.Packets{},
 			Ready:     platform.ReadyHandler,
 			Hosts:     http.NotFoundHandler(), // hosts report to the agent on their own VM
--- a/cmd/skylarkctl/main.go
+++ b/cmd/skylarkctl/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"time"
 
 	"github.com/alecthomas/kong"
@@ -15,6 +16,7 @@
 
 	"skylarkturn/internal/admin"
 	"skylarkturn/internal/daemon"
+	"skylarkturn/internal/fleet"
 )
 
 // Exit codes.
@@ -28,10 +30,10 @@
 )
 
 type cli struct {
-	Server  []string         `help:"Address of a balancer's administration API; may be repeated." env:"SKYLARK_SERVER" required:"" placeholder:"HOST:PORT"`
-	CA      string           `help:"File with the authority to trust." env:"SKYLARK_CA" required:"" type:"existingfile"`
-	Cert    string           `help:"File with the operator's certificate." env:"SKYLARK_CERT" required:"" type:"existingfile"`
-	Key     string           `help:"File with the operator's key." env:"SKYLARK_KEY" required:"" type:"existingfile"`
+	Server  []string         `help:"Address of a balancer's administration API; may be repeated." env:"SKYLARK_SERVER" placeholder:"HOST:PORT"`
+	CA      string           `help:"File with the authority to trust." env:"SKYLARK_CA" type:"existingfile"`
+	Cert    string           `help:"File with the operator's certificate." env:"SKYLARK_CERT" type:"existingfile"`
+	Key     string           `help:"File with the operator's key." env:"SKYLARK_KEY" type:"existingfile"`
 	JSON    bool             `help:"Print JSON instead of tables."`
 	Timeout time.Duration    `help:"Time to wait for the whole command." default:"30s"`
 	Version kong.VersionFlag `help:"Print the version and exit."`
@@ -44,11 +46,13 @@
 	Status   statusCmd   `cmd:"" help:"Show where a service's configuration is in force."`
 	Members  membersCmd  `cmd:"" help:"List balancers and targets."`
 	Explain  explainCmd  `cmd:"" help:"Tell where a connection ID leads."`
+	Fleet    fleetCmd    `cmd:"" help:"Ask the daemons of the users' platform at their metrics addresses."`
 }
 
 type env struct {
 	ctx    context.Context
 	client *admin.Client
+	fleet  *fleet.Client
 	json   bool
 }
 
@@ -56,22 +60,42 @@
 
 func run() int {
 	var c cli
+	e := &env{}
 	k := kong.Parse(&c, kong.Name("skylarkctl"), kong.Description("Declares services and intents, and confirms plans."),
-		kong.Vars{"version": daemon.Version()}, kong.Exit(exit))
+		kong.Vars{"version": daemon.Version()}, kong.Exit(exit), kong.Bind(e))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
-	cfg, err := admin.LoadTLS(c.CA, c.Cert, c.Key)
-	if err != nil {
-		return fail(err)
+	e.ctx, e.json = ctx, c.JSON
+	if e.fleet == nil { // every other command speaks to the administration API
+		if err := c.connect(e); err != nil {
+			return fail(err)
+		}
 	}
-	if err := k.Run(&env{ctx, admin.NewClient(cfg, c.Server...), c.JSON}); err != nil {
+	if err := k.Run(e); err != nil {
 		return fail(oops.In("skylarkctl").With("command", k.Command()).Wrap(err))
 	}
 	return 0
 }
 
+// Makes the client of the administration API.
+func (c *cli) connect(e *env) error {
+	for _, f := range []struct{ flag, value string }{
+		{"--server", strings.Join(c.Server, "")}, {"--ca", c.CA}, {"--cert", c.Cert}, {"--key", c.Key},
+	} {
+		if f.value == "" {
+			return oops.With("missing flag", f.flag).Wrapf(errUsage, "missing flag %s", f.flag)
+		}
+	}
+	cfg, err := admin.LoadTLS(c.CA, c.Cert, c.Key)
+	if err != nil {
+		return err
+	}
+	e.client = admin.NewClient(cfg, c.Server...)
+	return nil
+}
+
 // Exits with the documented code where the flags are at fault.
 func exit(code int) {
 	if code != 0 {
@@ -84,6 +108,7 @@
 	fmt.Fprintln(os.Stderr, "skylarkctl:", err)
 	var p *admin.Problem
 	var e *admin.Error
+	var f *fleet.Error
 	switch {
 	case errors.Is(err, errUsage):
 		return exitUsage
@@ -97,6 +122,8 @@
 		return exitRefused
 	case errors.As(err, &e) && e.Kind == admin.KindUnavailable:
 		return exitUnavailable
+	case errors.As(err, &f) && f.Kind == fleet.KindUnavailable:
+		return exitUnavailable
 	}
 	return exitFailure
 }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -12,6 +12,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"skylarkturn/internal/fleet"
 	"skylarkturn/internal/pace"
 	"skylarkturn/internal/platform"
 	"skylarkturn/internal/route"
@@ -210,9 +211,14 @@
 func (b *Balancer) opsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /config", b.serveConfig)
-	mux.Handle("GET /debug/flows", b.ring)
+	mux.Handle("GET "+fleet.FlowsPath, b.ring)
+	mux.Handle("GET "+fleet.StatusPath, fleet.Handler(b.status))
+	mux.Handle("GET "+fleet.MembersPath, fleet.Handler(b.memberList))
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
 		b.metrics.WritePrometheus(w)
+		if b.platform.Metrics != nil {
+			b.platform.Metrics(w)
+		}
 	})
 	return mux
 }
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,6 +18,34 @@
 	readErrors  *metrics.Counter
 	storeErrors *metrics.Counter
 	fetchErrors *metrics.Counter
+	found       *metrics.Histogram // seconds from the first question about a flow to its owner's answer
+
+	set    *metrics.Set
+	mu     sync.Mutex // guards placed
+	placed map[string]*metrics.Histogram
+}
+
+// Returns the histogram of the seconds that new flows of a service wait for a
+// target.
+func (c *counters) placedFor(service string) *metrics.Histogram {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	h := c.placed[service]
+	if h == nil {
+		h = c.set.GetOrCreateHistogram(fmt.Sprintf(`skylark_place_seconds{service=%q}`, service))
+		c.placed[service] = h
+	}
+	return h
+}
+
+// Notes how long a flow waited for a decision.
+func (c *counters) waited(a *steering.Action) {
+	switch {
+	case a.Cause == steering.Found:
+		c.found.Update(a.Waited.Seconds())
+	case a.Verb == steering.Send && a.Service != "" && a.Cause != steering.Known:
+		c.placedFor(a.Service).Update(a.Waited.Seconds())
+	}
 }
 
 // addGauges adds what is read when the metrics are.
@@ -35,6 +64,11 @@
 	gauge(`skylark_flows_pending`, func() float64 { return float64(b.steer.Pending()) })
 	gauge(`skylark_flows_evicted`, func() float64 { return float64(b.steer.Evictions()) })
 	gauge(`skylark_settled`, func() float64 { return number(b.settled) })
+	gauge(`skylark_config_checked_age_seconds`, func() float64 {
+		ago, _ := b.members.CheckedAgo(time.Now())
+		return ago.Seconds()
+	})
+	gauge(`skylark_oldest_heartbeat_seconds`, func() float64 { return b.members.OldestHeartbeat(time.Now()).Seconds() })
 	gauge(`skylark_isolated`, func() float64 { return number(b.isolated) })
 	b.metrics.NewGauge(`skylark_log_lines_dropped`, func() float64 { return float64(b.lines.Dropped()) })
 }
@@ -46,8 +80,11 @@
 	return 0
 }
 
-func newCounters(set *metrics.Set) counters {
-	c := counters{
+func newCounters(set *metrics.Set) *counters {
+	c := &counters{
+		set:         set,
+		placed:      make(map[string]*metrics.Histogram),
+		found:       set.NewHistogram(`skylark_lookup_seconds`),
 		forged:      set.NewCounter(`skylark_packets_forged_total`),
 		readErrors:  set.NewCounter(`skylark_client_socket_errors_total`),
 		storeErrors: set.NewCounter(`skylark_store_errors_total`),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -71,7 +72,8 @@
 	Agents    registry.Store
 	Format    packet.Format
 	Ready     func(ready func() bool) http.Handler
-	Hosts     http.Handler // answers hosts that call the balancer; nil for none
+	Metrics   func(io.Writer) // writes the metrics of the platform's client; nil for none
+	Hosts     http.Handler    // answers hosts that call the balancer; nil for none
 }
 
 // Balancer is one balancer.
@@ -82,7 +84,7 @@
 	agents    *registry.Registry
 	log       *log.Logger
 	metrics   *metrics.Set
-	counters  counters
+	counters  *counters
 	started   time.Time
 
 	clients *net.UDPConn
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -97,6 +97,7 @@
 	for i := range actions {
 		a := &actions[i]
 		b.counters.actions[a.Verb][a.Cause].Inc()
+		b.counters.waited(a)
 		switch a.Verb {
 		case steering.Send:
 			if a.Kind == parcel.Ask && a.Packet == nil {
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"time"
+
+	"skylarkturn/internal/fleet"
+	"skylarkturn/internal/roster"
+)
+
+// Returns what the balancer tells operators of itself.
+func (b *Balancer) status() any {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := fleet.Status{
+		Name: b.cfg.Name, Role: fleet.RoleBalancer, Zone: b.cfg.Zone, Inner: b.inner.Addr().String(), Uptime: now.Sub(b.started).Seconds(),
+		ConfigVersion: b.steer.Routes().Version(), StoreLost: b.storeLost.Load(), Settled: b.settled, Isolated: b.isolated, Stopping: b.stopping.Load(),
+		Targets: b.steer.TargetCount(), Pending: b.steer.Pending(), Flows: b.steer.Flows(),
+	}
+	if !b.taken.IsZero() {
+		s.ConfigAge = now.Sub(b.taken).Seconds()
+	}
+	if ago, ok := b.members.CheckedAgo(now); ok {
+		s.CheckedAgo = ago.Seconds()
+	}
+	for _, a := range b.members.Unheard() {
+		s.Unheard = append(s.Unheard, a.String())
+	}
+	return s
+}
+
+// Returns what the balancer knows of all members.
+func (b *Balancer) memberList() any {
+	now := time.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	members := b.members.Members()
+	list := []fleet.Member{}
+	for _, m := range members.Members(func(*roster.Member) bool { return true }) {
+		list = append(list, describe(now, &m, members.Heartbeat(m.Addr), m.Addr == b.inner.Addr()))
+	}
+	return list
+}
+
+// neverHeard is the age of a heartbeat that has not come.
+const neverHeard = -1
+
+func describe(now time.Time, m *roster.Member, heard time.Time, self bool) fleet.Member {
+	d := fleet.Member{
+		Name: m.Name, Role: fleet.RoleBalancer, Zone: m.Zone, Inner: m.Addr.String(), State: m.State.String(), Incarnation: m.Incarnation,
+		Service: m.Serves, Slots: m.Slots, Warmth: m.Warmth, Flows: m.Sessions, Busy: m.Busy, HeardAgo: neverHeard,
+	}
+	if m.Role == roster.Agent {
+		d.Role = fleet.RoleAgent
+	}
+	switch {
+	case self:
+		d.HeardAgo = 0
+	case !heard.IsZero():
+		d.HeardAgo = now.Sub(heard).Seconds()
+	}
+	return d
+}
--- a/internal/hostside/agent.go
+++ b/internal/hostside/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,6 +15,7 @@
 	"github.com/phuslu/log"
 	"golang.org/x/sync/errgroup"
 
+	"skylarkturn/internal/fleet"
 	"skylarkturn/internal/flowtable"
 	"skylarkturn/internal/inner"
 	"skylarkturn/internal/link"
@@ -51,6 +53,7 @@
 	Snapshots Snapshots
 	Format    packet.Format
 	Ready     func(ready func() bool) http.Handler
+	Metrics   func(io.Writer)           // writes the metrics of the platform's client; nil for none
 	Hosts     func(*Agent) http.Handler // takes the host's heartbeats
 }
 
@@ -72,6 +75,7 @@
 	hosting  sync.Once
 	ring     *trace.Ring
 	lines    *trace.Budget
+	started  time.Time
 
 	mu      sync.Mutex // guards what follows
 	flows   *flowtable.Table
@@ -101,6 +105,7 @@
 		hosted:   make(chan struct{}),
 		ring:     trace.NewRing(ringSize),
 		lines:    trace.NewBudget(linesPerSecond),
+		started:  now,
 		flows:    flowtable.New(now, cfg.BeatEvery, cfg.FirstStart),
 	}
 	for _, o := range opts {
@@ -128,8 +133,14 @@
 		return err
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /debug/flows", a.ring)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) { a.metrics.WritePrometheus(w) })
+	mux.Handle("GET "+fleet.FlowsPath, a.ring)
+	mux.Handle("GET "+fleet.StatusPath, fleet.Handler(a.status))
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
+		a.metrics.WritePrometheus(w)
+		if a.platform.Metrics != nil {
+			a.platform.Metrics(w)
+		}
+	})
 	if err := a.servers.Listen(a.cfg.Heartbeats, a.platform.Hosts(a)); err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/hostside/status.go
@@ -0,0 +1,27 @@
+package hostside
+
+import (
+	"time"
+
+	"skylarkturn/internal/fleet"
+	"skylarkturn/internal/flowtable"
+)
+
+// Returns what the agent tells operators of itself.
+func (a *Agent) status() any {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	host, registered := a.flows.Host()
+	s := fleet.Status{
+		Name: a.cfg.Name, Role: fleet.RoleAgent, Zone: a.cfg.Zone, Inner: a.inner.Addr().String(), Uptime: now.Sub(a.started).Seconds(),
+		Host: host.ID, Service: host.Service, HostState: "none", HeardAgo: a.flows.HeardAgo(now).Seconds(), Slots: host.Slots,
+		Busy: a.flows.Busy(), Complete: a.flows.Complete(), Observers: a.members.Observers(), Flows: a.flows.Flows(),
+	}
+	if registered {
+		s.HostState = hostStates[host.State]
+	}
+	return s
+}
+
+var hostStates = map[flowtable.HostState]string{flowtable.HostReady: "ready", flowtable.HostDraining: "draining"}
--- a/internal/membership/confirm.go
+++ b/internal/membership/confirm.go
@@ -6,6 +6,7 @@
 	"skylarkturn/internal/control"
 	"skylarkturn/internal/flow"
 	"skylarkturn/internal/packet"
+	"skylarkturn/internal/roster"
 )
 
 // A configuration is to be in force on all balancers 3 s after the store has
@@ -47,12 +48,30 @@
 	return b.confirmed.at.Add(checkAfter + time.Duration(share*float64(checkSpread)))
 }
 
+// OldestHeartbeat returns the age of the oldest newest heartbeat among the agents
+// that are taken to be up.
+func (b *Balancer) OldestHeartbeat(now time.Time) (age time.Duration) {
+	for _, m := range b.members.Members(func(m *roster.Member) bool { return m.Role == roster.Agent && roster.Live(m) }) {
+		if heard := b.members.Heartbeat(m.Addr); !heard.IsZero() {
+			age = max(age, now.Sub(heard))
+		}
+	}
+	return age
+}
+
+// CheckedAgo returns the time since the newest check that is known of; ok is
+// false when there was none.
+func (b *Balancer) CheckedAgo(now time.Time) (ago time.Duration, ok bool) {
+	return now.Sub(b.confirmed.at), !b.confirmed.at.IsZero()
+}
+
 // Returns the milliseconds since the newest check, 0 when there was none.
 func (b *Balancer) checkedAgo(now time.Time) uint32 {
-	if b.confirmed.at.IsZero() {
+	ago, ok := b.CheckedAgo(now)
+	if !ok {
 		return 0
 	}
-	return uint32(max(now.Sub(b.confirmed.at).Milliseconds(), 1))
+	return uint32(max(ago.Milliseconds(), 1))
 }
 
 // Takes over a check that a balancer with the same configuration knows of.
--- a/internal/platformstand/explain_test.go
+++ b/internal/platformstand/explain_test.go
@@ -82,11 +82,11 @@
 	return strings.ReplaceAll(flow, `\u003e`, ">")
 }
 
-// decisions returns what a daemon serves about a flow.
-func decisions(t *testing.T, s *Site, vm netip.Addr, flow string) string {
+// get returns what a daemon serves at its metrics address.
+func get(t *testing.T, s *Site, vm netip.Addr, path string) string {
 	t.Helper()
 	at := netip.AddrPortFrom(vm, s.ports.inner+1)
-	resp, err := http.Get("http://" + at.String() + "/debug/flows?flow=" + url.QueryEscape(flow))
+	resp, err := http.Get("http://" + at.String() + path)
 	qt.Assert(t, qt.IsNil(err))
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
@@ -94,6 +94,12 @@
 	return string(body)
 }
 
+// decisions returns what a daemon serves about a flow.
+func decisions(t *testing.T, s *Site, vm netip.Addr, flow string) string {
+	t.Helper()
+	return get(t, s, vm, "/debug/flows?flow="+url.QueryEscape(flow))
+}
+
 func TestExplainResetOfLostHost(t *testing.T) {
 	s, log := explained(t, 1)
 	qt.Assert(t, qt.IsNil(s.Clients(2)))
--- a/internal/platformstand/soak_test.go
+++ b/internal/platformstand/soak_test.go
@@ -17,7 +17,7 @@
 func build(t *testing.T) string {
 	t.Helper()
 	bin := t.TempDir()
-	out, err := exec.Command("go", "build", "-o", bin, "skylarkturn/cmd/skylark-balancer", "skylarkturn/cmd/skylark-agent").CombinedOutput()
+	out, err := exec.Command("go", "build", "-o", bin, "skylarkturn/cmd/skylark-balancer", "skylarkturn/cmd/skylark-agent", "skylarkturn/cmd/skylarkctl").CombinedOutput()
 	qt.Assert(t, qt.IsNil(err), qt.Commentf("%s", out))
 	return bin
 }
--- a/internal/steering/action.go
+++ b/internal/steering/action.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"skylarkturn/internal/packet"
 	"skylarkturn/internal/parcel"
@@ -59,4 +60,5 @@
 	Service   string         // of Send, when the flow is new
 	Packet    []byte         // of Send
 	ClientAck uint32         // of Reset, and of questions
+	Waited    time.Duration  // of Send, from the flow's first packet to its target, or from the question to the answer
 }
--- a/internal/steering/place.go
+++ b/internal/steering/place.go
@@ -60,7 +60,7 @@
 	if len(f.tried) > 0 {
 		cause = PlacedAgain
 	}
-	return append(out, Action{Verb: Send, Cause: cause, Flow: k, Agent: best.Agent, Kind: parcel.Deliver, Service: service, Packet: raw})
+	return append(out, Action{Verb: Send, Cause: cause, Flow: k, Agent: best.Agent, Kind: parcel.Deliver, Service: service, Packet: raw, Waited: now.Sub(f.since)})
 }
 
 // Decides on a new flow that no target takes: it waits where one may take it
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -237,7 +237,7 @@
 	f.lookup = nil
 	delete(t.pending, k)
 	for _, raw := range l.held {
-		out = append(out, Action{Verb: Send, Cause: Found, Flow: k, Agent: from, Kind: parcel.Deliver, Packet: raw})
+		out = append(out, Action{Verb: Send, Cause: Found, Flow: k, Agent: from, Kind: parcel.Deliver, Packet: raw, Waited: now.Sub(l.started)})
 	}
 	return out
 }
