Report of runs as an HTML page; cheaper placement

skylark-stand report draws runs of the soak (--report) and of the users' bench side by side: served share, refusals and failures, latency and, for soaks, imbalance by second, with faults shaded.

Cause, by profile: pointers moved in the ranking, which cost write barriers, and times of targets that were never crowded. Ruled out: a cheaper hash for the score (it changes where scripts and running fleets place flows; half of what is left at 1,000).

--- a/cmd/skylark-stand/main.go
+++ b/cmd/skylark-stand/main.go
@@ -33,6 +33,7 @@
 	Run      runCmd           `cmd:"" help:"Run the experiment of a TOML file with the built programs as processes."`
 	Capacity capacityCmd      `cmd:"" help:"Measure the slopes of docs/CAPACITY.md with the built programs."`
 	Soak     soakCmd          `cmd:"" help:"Run the built programs on stand-ins of the platform under random faults."`
+	Report   reportCmd        `cmd:"" help:"Draw runs side by side as one HTML page."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
--- a/cmd/skylark-stand/soak.go
+++ b/cmd/skylark-stand/soak.go
@@ -23,6 +23,7 @@
 	Users     int           `help:"Users, each with one request at a time." default:"20"`
 	Dir       string        `help:"Directory for the log of each run; a temporary one when empty." type:"path"`
 	JSON      bool          `help:"Print a JSON object for each run."`
+	Report    bool          `help:"Write run.json, for the command report, beside the log of each run."`
 }
 
 type soakResult struct {
@@ -92,6 +93,9 @@
 	defer f.Close()
 	s := platformstand.Soak{Bin: bin, Dir: run, Seed: seed, Length: c.Length, Balancers: c.Balancers, Hosts: c.Hosts, Users: c.Users, Out: f, Log: f}
 	r, err := s.Run(ctx)
+	if err == nil && c.Report {
+		err = writeRun(filepath.Join(run, "run.json"), &r.Run)
+	}
 	return soakResult{seed, r.Requests, r.Share, r.After, r.Failures, r.Broken}, err
 }
 
--- /dev/null
+++ b/internal/platformstand/decisions.go
@@ -0,0 +1,58 @@
+package platformstand
+
+import (
+	"bufio"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+
+	"skylarkturn/internal/report"
+)
+
+// decisionPattern matches the counters of what daemons do with packets.
+var decisionPattern = regexp.MustCompile(`^skylark_packets_total\{action="(reset|drop|send)",cause="(\w+)"\} (\d+)$`)
+
+// Decisions returns what the daemons that run have decided since their starts, by
+// cause: flows reset, packets dropped, and owners looked up.
+func (s *Site) Decisions() []report.Figure {
+	totals := make(map[string]int)
+	for _, balancers := range []bool{true, false} {
+		for _, v := range s.VMs(balancers) {
+			if err := s.addDecisions(v, totals); err != nil {
+				totals["daemons that did not tell"]++
+			}
+		}
+	}
+	var figures []report.Figure
+	for _, name := range slices.Sorted(maps.Keys(totals)) {
+		figures = append(figures, report.Figure{Name: name, Value: float64(totals[name])})
+	}
+	return figures
+}
+
+func (s *Site) addDecisions(v *VM, totals map[string]int) error {
+	at := netip.AddrPortFrom(v.Addr, s.ports.inner+1)
+	resp, err := http.Get("http://" + at.String() + "/metrics")
+	if err != nil {
+		return &Error{"read decisions", KindNetwork, err}
+	}
+	defer resp.Body.Close()
+	for sc := bufio.NewScanner(resp.Body); sc.Scan(); {
+		m := decisionPattern.FindStringSubmatch(sc.Text())
+		if m == nil || m[1] == "send" && m[2] != "looked_up" {
+			continue
+		}
+		n, err := strconv.Atoi(m[3])
+		if err != nil {
+			return &Error{"read decisions", KindNetwork, err}
+		}
+		if n > 0 {
+			totals[fmt.Sprintf("%s: %s", m[1], m[2])] += n
+		}
+	}
+	return nil
+}
--- a/internal/platformstand/record.go
+++ b/internal/platformstand/record.go
@@ -35,10 +35,10 @@
 	disrupted map[netip.Addr]time.Time // end of the last disruption of a VM
 	versions  []version
 	flows     map[packet.Key]*seenFlow
-	runs      map[string]int // of requests, by id
-	asked     map[string]bool
-	served    []time.Time
-	failed    []time.Time
+	runs      map[string]int       // of requests, by id
+	asked     map[string]time.Time // requests that wait for their end, and those that have ended
+	ends      []ending
+	work      []work
 	reasons   map[string]int // failures of attempts
 }
 
@@ -55,11 +55,23 @@
 	reported bool
 }
 
+// ending is the end of a request.
+type ending struct {
+	asked, at time.Time
+	ok        bool
+}
+
+// work is a request that a host has run.
+type work struct {
+	at   time.Time
+	host netip.Addr
+}
+
 // NewRecord returns an empty record.
 func NewRecord(b Bounds) *Record {
 	return &Record{
 		bounds: b, disrupted: make(map[netip.Addr]time.Time), flows: make(map[packet.Key]*seenFlow),
-		runs: make(map[string]int), asked: make(map[string]bool), reasons: make(map[string]int),
+		runs: make(map[string]int), asked: make(map[string]time.Time), reasons: make(map[string]int),
 	}
 }
 
@@ -159,7 +171,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[id]++
-	if !r.asked[id] {
+	r.work = append(r.work, work{time.Now(), h.vm})
+	if _, ok := r.asked[id]; !ok {
 		r.breaks("UNASKED: %s ran at %v", id, h.vm)
 	}
 	if r.runs[id] > 1 && !repeatable {
@@ -170,20 +183,19 @@
 func (r *Record) asks(id string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.asked[id] = true
+	r.asked[id] = time.Now()
 }
 
 func (r *Record) ended(id string, ok bool, reason string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.ends = append(r.ends, ending{r.asked[id], time.Now(), ok})
 	if ok {
-		r.served = append(r.served, time.Now())
 		if r.runs[id] == 0 {
 			r.breaks("MIXED: %s was answered and did not run", id)
 		}
 		return
 	}
-	r.failed = append(r.failed, time.Now())
 	r.reasons[reason]++
 }
 
@@ -198,11 +210,19 @@
 func (r *Record) Share(since time.Time) (share float64, n int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	served, failed := after(r.served, since), after(r.failed, since)
-	if served+failed == 0 {
+	served := 0
+	for _, e := range r.ends {
+		if e.at.After(since) {
+			n++
+			if e.ok {
+				served++
+			}
+		}
+	}
+	if n == 0 {
 		return 0, 0
 	}
-	return float64(served) / float64(served+failed), served + failed
+	return float64(served) / float64(n), n
 }
 
 // Failures returns the number of failed requests by reason.
@@ -211,12 +231,3 @@
 	defer r.mu.Unlock()
 	return maps.Clone(r.reasons)
 }
-
-func after(times []time.Time, since time.Time) (n int) {
-	for _, t := range times {
-		if t.After(since) {
-			n++
-		}
-	}
-	return n
-}
--- /dev/null
+++ b/internal/platformstand/series_test.go
@@ -0,0 +1,42 @@
+package platformstand
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-quicktest/qt"
+
+	"skylarkturn/internal/report"
+)
+
+func TestWindowsOfARecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := NewRecord(DefaultBounds)
+		hosts := []*Host{{vm: netip.MustParseAddr("127.1.0.2")}, {vm: netip.MustParseAddr("127.1.0.3")}}
+		r.asks("before")
+		time.Sleep(time.Second)
+		began := time.Now()
+		request := func(n int, took time.Duration, ok bool) {
+			id := fmt.Sprint(began, n, took)
+			r.asks(id)
+			if ok {
+				r.ran(id, hosts[n%2], true)
+			}
+			time.Sleep(took)
+			r.ended(id, ok, "reset")
+		}
+		r.ended("before", false, "reset")
+		request(0, 100*time.Millisecond, true)
+		request(1, 200*time.Millisecond, true)
+		request(2, 600*time.Millisecond, true)
+		time.Sleep(200 * time.Millisecond)
+		request(3, 50*time.Millisecond, false)
+		qt.Check(t, qt.DeepEquals(r.Windows(began), []report.Window{
+			{From: 0, Asked: 3, Served: 2, Late: 1, P50: 200, P99: 200, BusiestX: 4.0 / 3},
+			{From: 1, Asked: 1, Failed: 1},
+		}))
+	})
+}
--- a/internal/platformstand/soak.go
+++ b/internal/platformstand/soak.go
@@ -4,9 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
+
+	"skylarkturn/internal/report"
 )
 
 // Soak is a randomized run of a site under faults.
@@ -28,7 +32,8 @@
 	Failures map[string]int // of requests, by reason
 	Share    float64        // of requests that were served
 	Requests int
-	After    float64 // share served in the calm at the end
+	After    float64    // share served in the calm at the end
+	Run      report.Run // by second
 }
 
 const (
@@ -48,6 +53,8 @@
 	mu     sync.Mutex
 	routes map[string]string
 	busy   map[string]bool // VMs that a fault is being done to
+	began  time.Time
+	events []report.Event
 }
 
 // Run runs the soak.
@@ -65,6 +72,7 @@
 		return Result{}, err
 	}
 	began := time.Now()
+	k.began = began
 	k.faults(ctx, began.Add(s.Length))
 	k.done.Wait()
 	site.Store.Fail(Healthy)
@@ -77,9 +85,27 @@
 	if r.After < minAfter {
 		r.Broken = append(r.Broken, fmt.Sprintf("RECOVER: %.3f of the requests were served in the calm after the faults", r.After))
 	}
+	r.Run = k.report(r)
 	return r, ctx.Err()
 }
 
+// Returns the run for a report.
+func (k *soak) report(r Result) report.Run {
+	run := report.Run{Name: fmt.Sprintf("soak, seed %d", k.Seed), Windows: k.site.Record.Windows(k.began)}
+	run.Figures = []report.Figure{
+		{Name: "requests", Value: float64(r.Requests)}, {Name: "share served", Value: r.Share},
+		{Name: "share served after the faults", Value: r.After}, {Name: "promises broken", Value: float64(len(r.Broken))},
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Failures)) {
+		run.Counts = append(run.Counts, report.Figure{Name: "failed: " + reason, Value: float64(r.Failures[reason])})
+	}
+	run.Counts = append(run.Counts, k.site.Decisions()...)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	run.Events = slices.Clone(k.events)
+	return run
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -88,6 +114,12 @@
 }
 
 func (k *soak) say(format string, args ...any) {
+	if !k.began.IsZero() {
+		at := time.Since(k.began).Seconds()
+		k.mu.Lock()
+		k.events = append(k.events, report.Event{From: at, To: at, What: fmt.Sprintf(format, args...)})
+		k.mu.Unlock()
+	}
 	if k.Out != nil {
 		fmt.Fprintf(k.Out, time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 	}
--- /dev/null
+++ b/internal/report/doc.go
@@ -0,0 +1,3 @@
+// Package report draws runs of experiments, side by side, as one HTML page that
+// needs no other file.
+package report
--- /dev/null
+++ b/internal/report/page.go
@@ -0,0 +1,198 @@
+package report
+
+import (
+	"bytes"
+	"fmt"
+	"html/template"
+	"image/color"
+	"io"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// Kinds of errors.
+const (
+	KindDraw  = "draw"
+	KindWrite = "write"
+)
+
+// Error reports the operation of package report that failed and why.
+type Error struct {
+	Op   string
+	Kind string
+	Err  error
+}
+
+// Error returns the operation, the kind and the cause.
+func (e *Error) Error() string { return fmt.Sprintf("report: %s: %s: %v", e.Op, e.Kind, e.Err) }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+const (
+	chartWidth  = 16 * vg.Centimeter
+	chartHeight = 6 * vg.Centimeter
+)
+
+var (
+	blue  = color.RGBA{R: 0x1f, G: 0x77, B: 0xb4, A: 0xff}
+	amber = color.RGBA{R: 0xff, G: 0x7f, B: 0x0e, A: 0xff}
+	red   = color.RGBA{R: 0xd6, G: 0x27, B: 0x28, A: 0xff}
+	shade = color.RGBA{R: 0xd6, G: 0x27, B: 0x28, A: 0x20}
+)
+
+type line struct {
+	name  string
+	color color.Color
+	value func(*Window) float64
+}
+
+type chart struct {
+	title string
+	lines []line
+	upTo  float64 // upper end of the axis; 0 fits the data
+	draws func(*Run) bool
+}
+
+var charts = []chart{
+	{"served by second, share of requests", []line{
+		{"served", blue, func(w *Window) float64 { return w.share(w.Served + w.Late) }},
+		{"in time", amber, func(w *Window) float64 { return w.share(w.Served) }},
+	}, 1, nil},
+	{"refused and failed requests", []line{
+		{"refused", amber, func(w *Window) float64 { return float64(w.Refused) }},
+		{"failed", red, func(w *Window) float64 { return float64(w.Failed) }},
+	}, 0, nil},
+	{"latency, ms", []line{
+		{"median", blue, func(w *Window) float64 { return w.P50 }},
+		{"99th percentile", amber, func(w *Window) float64 { return w.P99 }},
+	}, 0, nil},
+	{"busiest host over the mean", []line{
+		{"busiest over mean", blue, func(w *Window) float64 { return w.BusiestX }},
+	}, 0, func(r *Run) bool {
+		for i := range r.Windows {
+			if r.Windows[i].BusiestX > 0 {
+				return true
+			}
+		}
+		return false
+	}},
+}
+
+// draw returns the chart of a run as SVG. Faults are shaded.
+func (c *chart) draw(r *Run) (template.HTML, error) {
+	p := plot.New()
+	p.Title.Text = c.title
+	p.X.Label.Text = "seconds"
+	p.Y.Min = 0
+	if len(r.Windows) > 0 {
+		p.X.Min, p.X.Max = r.Windows[0].From, r.Windows[len(r.Windows)-1].From
+	}
+	if err := c.addLines(p, r); err != nil {
+		return "", &Error{c.title, KindDraw, err}
+	}
+	if c.upTo > 0 {
+		p.Y.Max = c.upTo
+	}
+	if err := addFaults(p, r); err != nil {
+		return "", &Error{c.title, KindDraw, err}
+	}
+	canvas := vgsvg.New(chartWidth, chartHeight)
+	p.Draw(draw.New(canvas))
+	var b bytes.Buffer
+	if _, err := canvas.WriteTo(&b); err != nil {
+		return "", &Error{c.title, KindDraw, err}
+	}
+	_, svg, _ := strings.Cut(b.String(), "<svg") // the declaration of XML has no place in a page
+	return template.HTML("<svg" + svg), nil      // #nosec: drawn by the library from numbers and escaped names
+}
+
+func (c *chart) addLines(p *plot.Plot, r *Run) error {
+	for _, l := range c.lines {
+		points := make(plotter.XYs, len(r.Windows))
+		for i := range r.Windows {
+			points[i] = plotter.XY{X: r.Windows[i].From, Y: l.value(&r.Windows[i])}
+		}
+		drawn, err := plotter.NewLine(points)
+		if err != nil {
+			return err
+		}
+		drawn.Color = l.color
+		p.Add(drawn)
+		p.Legend.Add(l.name, drawn)
+	}
+	return nil
+}
+
+func addFaults(p *plot.Plot, r *Run) error {
+	for _, e := range r.Events {
+		if e.Planned {
+			continue
+		}
+		from, to := max(e.From, p.X.Min), min(max(e.To, e.From), p.X.Max)
+		if from > p.X.Max {
+			continue
+		}
+		area, err := plotter.NewPolygon(plotter.XYs{{X: from, Y: p.Y.Min}, {X: from, Y: p.Y.Max}, {X: to, Y: p.Y.Max}, {X: to, Y: p.Y.Min}})
+		if err != nil {
+			return err
+		}
+		area.Color, area.LineStyle.Width = shade, 0
+		p.Add(area)
+	}
+	return nil
+}
+
+var page = template.Must(template.New("page").Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>skylarkturn: runs</title><style>
+body { font-family: sans-serif; margin: 1.5em; color: #222 }
+.runs { display: flex; flex-wrap: wrap; gap: 2em; align-items: flex-start }
+table { border-collapse: collapse; font-size: 85% }
+td, th { padding: 0.15em 0.8em 0.15em 0; text-align: left; vertical-align: top }
+td.number { text-align: right }
+.fault { color: #b01010 }
+svg { max-width: 100%; height: auto }
+</style></head><body>
+<h1>Runs</h1>
+<p>Shaded: faults. Planned work is in the tables only.</p>
+<div class="runs">{{range .}}<section><h2>{{.Run.Name}}</h2>
+<table>{{range .Run.Figures}}<tr><td>{{.Name}}</td><td class="number">{{.Value}}</td></tr>{{end}}</table>
+{{range .Charts}}<div>{{.}}</div>{{end}}
+<h3>Counts</h3><table>{{range .Run.Counts}}<tr><td>{{.Name}}</td><td class="number">{{.Value}}</td></tr>{{end}}</table>
+<h3>What happened</h3><table><tr><th>from, s</th><th>to, s</th><th>what</th></tr>
+{{range .Run.Events}}<tr{{if not .Planned}} class="fault"{{end}}><td class="number">{{printf "%.1f" .From}}</td><td class="number">{{printf "%.1f" .To}}</td><td>{{.What}}</td></tr>{{end}}</table>
+</section>{{end}}</div></body></html>
+`))
+
+type drawnRun struct {
+	Run    *Run
+	Charts []template.HTML
+}
+
+// Write writes the page of the runs, side by side in the order given.
+func Write(w io.Writer, runs []Run) error {
+	drawn := make([]drawnRun, len(runs))
+	for i := range runs {
+		drawn[i].Run = &runs[i]
+		for j := range charts {
+			c := &charts[j]
+			if c.draws != nil && !c.draws(&runs[i]) {
+				continue
+			}
+			svg, err := c.draw(&runs[i])
+			if err != nil {
+				return err
+			}
+			drawn[i].Charts = append(drawn[i].Charts, svg)
+		}
+	}
+	if err := page.Execute(w, drawn); err != nil {
+		return &Error{"write page", KindWrite, err}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/steering/spread_test.go
@@ -0,0 +1,37 @@
+package steering
+
+import (
+	"math"
+	"testing"
+
+	"github.com/go-quicktest/qt"
+
+	"skylarkturn/internal/packet"
+)
+
+// The first candidates of many flows are spread evenly over targets: by chance
+// alone, a target's count differs by less than five standard deviations.
+func TestRankingSpreadsFlowsEvenly(t *testing.T) {
+	const (
+		targets = 50
+		flows   = 100_000
+	)
+	g := &group{}
+	counts := make(map[*target]int)
+	for i := range targets {
+		a := packet.Endpoint{IP: 0x0a000000 + uint32(i), Port: 7400}.AddrPort()
+		g.add(&target{Target: Target{Agent: a}, hash: agentHash(a)})
+	}
+	for i := range flows {
+		k := packet.Key{Client: packet.Endpoint{IP: 0x64400000 + uint32(i/1000), Port: uint16(1024 + i%1000)}, Route: packet.Endpoint{IP: 0xc6120001, Port: 443}}
+		r := g.rank(k.Hash(), func(*target) bool { return true })
+		for _, n := range r.targets[:r.n] {
+			counts[n]++
+		}
+	}
+	const mean = flows * choices / targets
+	for n, c := range counts {
+		qt.Check(t, qt.IsTrue(math.Abs(float64(c-mean)) < 5*math.Sqrt(mean)), qt.Commentf("%v: %d, mean %d", n.Agent, c, mean))
+	}
+	qt.Check(t, qt.HasLen(counts, targets))
+}
--- a/internal/steering/target.go
+++ b/internal/steering/target.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"math"
 	"math/bits"
 	"net/netip"
 	"slices"
@@ -52,6 +53,9 @@
 
 // Reports whether the target is to get no new flow now, but soon.
 func (t *target) crowded(now time.Time) bool {
+	if t.crowd.refused.IsZero() {
+		return false
+	}
 	since := now.Sub(t.crowd.refused)
 	switch {
 	case since < crowdedFor:
@@ -65,6 +69,9 @@
 // Counts a new flow given to the target.
 func (t *target) give(now time.Time) {
 	t.placed++
+	if t.crowd.refused.IsZero() {
+		return
+	}
 	if now.Sub(t.crowd.began) >= crowdedPause {
 		t.crowd.began, t.crowd.given = now, 0
 	}
@@ -100,22 +107,24 @@
 // falling order.
 type ranking struct {
 	targets [choices]*target
-	scores  [choices]uint64
 	n       int
 }
 
-func (r *ranking) add(t *target, score uint64) {
-	i := r.n
-	for i > 0 && r.scores[i-1] < score {
-		i--
-	}
-	if i == choices {
-		return
+// scores are the highest scores of a ranking in the making, with the positions of
+// their targets; positions are cheaper to move than pointers.
+type scores struct {
+	at    [choices]int
+	value [choices]uint64
+	n     int
+}
+
+func (s *scores) add(at int, value uint64) {
+	i := min(s.n, choices-1)
+	for ; i > 0 && s.value[i-1] < value; i-- {
+		s.at[i], s.value[i] = s.at[i-1], s.value[i-1]
 	}
-	r.n = min(r.n+1, choices)
-	copy(r.targets[i+1:r.n], r.targets[i:])
-	copy(r.scores[i+1:r.n], r.scores[i:])
-	r.targets[i], r.scores[i] = t, score
+	s.at[i], s.value[i] = at, value
+	s.n = min(s.n+1, choices)
 }
 
 // group holds the targets of a service, and their hashes side by side, since a
@@ -157,21 +166,26 @@
 		return r
 	}
 	hash = bits.RotateLeft64(hash, 32)
+	var best scores
 	for i, h := range g.hashes {
 		score := flowid.Mix(hash ^ h)
-		if score > r.scores[choices-1] && keep(g.targets[i]) {
-			r.add(g.targets[i], score)
+		if score > best.value[choices-1] && keep(g.targets[i]) {
+			best.add(i, score)
 		}
 	}
+	for ; r.n < best.n; r.n++ {
+		r.targets[r.n] = g.targets[best.at[r.n]]
+	}
 	return r
 }
 
 // Returns the least loaded of the ranked targets, nil when there is none.
 func (r *ranking) lightest() *target {
 	var best *target
+	least := math.Inf(1)
 	for _, t := range r.targets[:r.n] {
-		if best == nil || t.load() < best.load() {
-			best = t
+		if load := t.load(); load < least {
+			best, least = t, load
 		}
 	}
 	return best
