--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -15,16 +15,16 @@
 )
 
 // Registers this balancer, and looks in the registry for others while none is
-// known.
+// known that knows all members.
 func (b *Balancer) keepRegistered(ctx context.Context) error {
 	b.balancers.Register(ctx, b.cfg.Name, b.inner.Addr())
 	pace.Sleep(ctx, seedsAfter)
 	retry := pace.Backoff{Min: minSeedsRetry, Max: maxSeedsRetry}
 	for ctx.Err() == nil {
 		b.mu.Lock()
-		alone := b.members.Alone()
+		seeking := b.members.Seeking(time.Now())
 		b.mu.Unlock()
-		if alone {
+		if seeking {
 			b.AddSeeds(b.balancers.Recent(ctx))
 		} else {
 			retry.Reset()
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -107,9 +107,8 @@
 
 func (r *runner) snapshot() []string {
 	s := r.table.Snapshot(r.now)
-	outdates := s.Outdates(r.saved)
+	shown := []string{fmt.Sprintf("host=%s early=%v due=%v", s.HostID, s.Outdates(r.saved, time.Second, 4*time.Second), s.Outdates(r.saved, 4*time.Second, 4*time.Second))}
 	r.saved = s
-	shown := []string{fmt.Sprintf("host=%s changed=%v", s.HostID, outdates)}
 	for k, ack := range s.Flows {
 		shown = append(shown, fmt.Sprintf("kept %s ack=%d", clientName(k), ack))
 	}
--- a/internal/flowtable/snapshot.go
+++ b/internal/flowtable/snapshot.go
@@ -38,14 +38,21 @@
 	return s
 }
 
-// staleShare is the share of a snapshot's flows, as a divisor, that an older one
-// has to lack before it is replaced.
-const staleShare = 8
+// Shares of a snapshot's flows that an older one has to lack before it is
+// replaced, at its usual age and early.
+const (
+	staleShare = 0.125
+	earlyShare = 0.3
+)
+
+// earlyFraction is the part of the usual age at which a snapshot is replaced
+// early: after many flows have moved they would be missed most.
+const earlyFraction = 4
 
-// Outdates reports whether s differs enough from the older snapshot to be
-// written.
-func (s Snapshot) Outdates(old Snapshot) bool {
-	if s.HostID == "" {
+// Outdates reports whether s is to be written in place of an older snapshot of the
+// given age, where interval is the usual one between two.
+func (s Snapshot) Outdates(old Snapshot, age, interval time.Duration) bool {
+	if s.HostID == "" || len(s.Flows) == 0 {
 		return false
 	}
 	missing := 0
@@ -54,7 +61,8 @@
 			missing++
 		}
 	}
-	return missing > 0 && missing*staleShare >= len(s.Flows)
+	share := float64(missing) / float64(len(s.Flows))
+	return age >= interval && share >= staleShare || age >= interval/earlyFraction && share >= earlyShare
 }
 
 const flowLen = packet.KeyLen + 4 // bytes of an encoded flow
--- a/internal/hostside/snapshot.go
+++ b/internal/hostside/snapshot.go
@@ -19,6 +19,10 @@
 const (
 	snapshotEvery = 4 * time.Second // sessions last some seconds and more
 
+	// snapshotChecks is the number of times in that interval that the flows are
+	// compared with those in the store.
+	snapshotChecks = 4
+
 	// snapshotRate is the number of snapshots a second of a fleet, half of the calls
 	// that the platform's store takes.
 	snapshotRate = 200
@@ -34,15 +38,21 @@
 	if !a.cfg.FirstStart {
 		a.recall(ctx)
 	}
-	var saved flowtable.Snapshot
+	var (
+		saved   flowtable.Snapshot
+		savedAt time.Time
+	)
 	for ctx.Err() == nil {
-		pace.Sleep(ctx, a.snapshotInterval())
+		interval := a.snapshotInterval()
+		pace.Sleep(ctx, interval/snapshotChecks)
+		now := time.Now()
 		a.mu.Lock()
-		s := a.flows.Snapshot(time.Now())
+		s := a.flows.Snapshot(now)
 		a.mu.Unlock()
-		if ctx.Err() != nil || !s.Outdates(saved) {
+		if ctx.Err() != nil || !s.Outdates(saved, now.Sub(savedAt), interval) {
 			continue
 		}
+		savedAt = now // a store that is away is tried again no sooner
 		if err := a.platform.Snapshots.Save(ctx, a.cfg.Name, s); err != nil {
 			a.snapshotFailed(ctx, "save_snapshot", err)
 			continue
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -20,20 +20,21 @@
 const TickEvery = 200 * time.Millisecond
 
 const (
-	beatEvery         = 400 * time.Millisecond // heartbeats of agents, gossip of balancers
-	membersPerMessage = 6                      // keep a message under control.MaxMessage
-	deltaMessages     = 8                      // messages with news in a tick
-	repairEvery       = time.Second
-	firstRepairEvery  = 100 * time.Millisecond // until all members are known
-	isolatedAfter     = 900 * time.Millisecond // without any agent's heartbeat; each sends one every beatEvery
-	startTick         = 50 * time.Millisecond  // until all members are known
-	bucketsPerRepair  = roster.BucketCount / 4
-	reintroduceEvery  = 2 * time.Second         // joins halves that lost each other
-	settleAfter       = 3 * time.Second         // agents send several heartbeats in this time
-	registryAfter     = 500 * time.Millisecond  // an agent that could not register has been heard by then
-	expectFor         = 12 * time.Second        // time that agents in the registry are waited for; partitions may last as long
-	unheardFor        = 1500 * time.Millisecond // the same where other balancers are heard: several heartbeats to each
-	maxPeers          = 8                       // balancers that gossip goes to at a time
+	beatEvery             = 400 * time.Millisecond // heartbeats of agents, gossip of balancers
+	membersPerMessage     = 6                      // keep a message under control.MaxMessage
+	deltaMessages         = 8                      // messages with news in a tick
+	repairEvery           = time.Second
+	firstRepairEvery      = 100 * time.Millisecond // until all members are known
+	isolatedAfter         = 900 * time.Millisecond // without any agent's heartbeat; each sends one every beatEvery
+	startTick             = 50 * time.Millisecond  // until all members are known
+	bucketsPerRepair      = roster.BucketCount / 4
+	reintroduceEvery      = 2 * time.Second         // joins halves that lost each other
+	firstReintroduceEvery = 200 * time.Millisecond  // until all members are known
+	settleAfter           = 3 * time.Second         // agents send several heartbeats in this time
+	registryAfter         = 500 * time.Millisecond  // an agent that could not register has been heard by then
+	expectFor             = 12 * time.Second        // time that agents in the registry are waited for; partitions may last as long
+	unheardFor            = 1500 * time.Millisecond // the same where other balancers are heard: several heartbeats to each
+	maxPeers              = 8                       // balancers that gossip goes to at a time
 )
 
 // Timing judges members by heartbeats every 400 ms: two missed ones make an
@@ -60,6 +61,7 @@
 	repaired   time.Time
 	newest     Version
 	expected   map[netip.AddrPort]bool   // agents of the registry that have not been heard
+	listed     int                       // agents of the registry
 	forgotten  map[netip.AddrPort]uint64 // incarnations of agents that are out of the registry
 	told       bool                      // whether the registry has been read
 	settled    bool
@@ -115,7 +117,7 @@
 		b.gossiped = now
 		out = append(out, b.Gossip(now)...)
 	}
-	if b.Alone() || now.Sub(b.introduced) >= reintroduceEvery {
+	if b.Alone() || now.Sub(b.introduced) >= b.introduceInterval() {
 		b.introduced = now
 		out = append(out, b.introductions(now)...)
 	}
@@ -135,6 +137,13 @@
 	return out
 }
 
+func (b *Balancer) introduceInterval() time.Duration {
+	if b.settled {
+		return reintroduceEvery
+	}
+	return firstReintroduceEvery
+}
+
 func (b *Balancer) introductions(now time.Time) (out []Outgoing) {
 	for _, a := range b.seeds {
 		if m, ok := b.members.Get(a); !ok || !roster.Live(&m) {
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -125,11 +125,16 @@
 			}
 		}
 		return []string{fmt.Sprint(due)}
+	case "seeking": // seeking b1
+		return []string{fmt.Sprint(n.balancers[c.Arg(0)].Seeking(n.now))}
 	case "lone": // lone a1
 		return []string{fmt.Sprint(n.agents[c.Arg(0)].Lone(n.now))}
 	case "seeds": // seeds a1 b1,b2
-		n.agents[c.Arg(0)].AddSeeds(n.addrs(c.Arg(1)))
-		return nil
+		if b := n.balancers[c.Arg(0)]; b != nil {
+			b.AddSeeds(n.addrs(c.Arg(1)))
+		} else {
+			n.agents[c.Arg(0)].AddSeeds(n.addrs(c.Arg(1)))
+		}
 	case "observers":
 		return []string{n.observers(c.Arg(0))}
 	default:
--- a/internal/membership/settle.go
+++ b/internal/membership/settle.go
@@ -13,6 +13,7 @@
 // Expect takes the agents that the registry lists.
 func (b *Balancer) Expect(agents []netip.AddrPort) {
 	b.told = true
+	b.listed = len(agents)
 	b.expected = make(map[netip.AddrPort]bool)
 	for _, a := range agents {
 		b.expected[a] = true
@@ -30,7 +31,7 @@
 // power there is none; then every agent of the registry must have been heard of,
 // by this balancer or by another one. Time has to do without the registry, and for
 // agents in it that ended without a word: longer where no other balancer is heard,
-// since a partition may lie between.
+// or most agents are not, since a partition may lie between.
 func (b *Balancer) Settled(now time.Time) bool {
 	if b.settled {
 		return true
@@ -44,7 +45,7 @@
 	switch {
 	case b.told && len(b.expected) == 0:
 		b.settled = age >= registryAfter || b.peers.unsettled && !b.peers.settled
-	case b.told && b.Alone():
+	case b.told && (b.Alone() || 2*len(b.expected) > b.listed):
 		b.settled = age >= expectFor
 	case b.told:
 		b.settled = age >= unheardFor
@@ -54,6 +55,10 @@
 	return b.settled
 }
 
+// Seeking reports whether the balancer is to look for others in the registry: it
+// knows none, or only some that do not know all members either.
+func (b *Balancer) Seeking(now time.Time) bool { return b.Alone() || !b.Settled(now) }
+
 // Isolated reports whether the balancer has stopped hearing agents altogether, so
 // that it is more likely cut off than all of them gone.
 func (b *Balancer) Isolated(now time.Time) bool {
