A request counts as waiting for ten seconds at most; lines for lost checks

A balancer whose checks of the store fail now logs that the store is lost, also while its watch still hangs.

--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -90,6 +90,7 @@
 // for the case that watches hear nothing.
 func (b *Balancer) checkStore(ctx context.Context) error {
 	var revision uint64
+	lost := false
 	retry := pace.Backoff{Min: minRetry, Max: maxRetry}
 	for ctx.Err() == nil {
 		b.mu.Lock()
@@ -104,10 +105,20 @@
 		}
 		next, err := b.checkOnce(ctx, revision)
 		revision = next
-		if err == nil {
+		switch {
+		case err == nil:
+			if lost {
+				b.log.Info().Str("event", "store_regained").Str("op", "check").Msg("")
+			}
+			lost = false
 			retry.Reset()
-		} else if !platform.IsKind(err, platform.KindCompacted) {
+		case platform.IsKind(err, platform.KindCompacted) || ctx.Err() != nil:
+		default:
 			b.counters.storeErrors.Inc()
+			if !lost {
+				b.log.Warn().Str("event", "store_lost").Str("op", "check").Err(err).Msg("")
+			}
+			lost = true
 			retry.Sleep(ctx)
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -134,6 +134,7 @@
 		peers:    newPeerClient(),
 		newer:    make(chan struct{}, 1),
 		pending:  make(chan struct{}, 1),
+		endWatch: func() {},
 		steer:    steering.New(),
 		ring:     trace.NewRing(ringSize),
 		lines:    trace.NewBudget(linesPerSecond),
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -11,6 +11,7 @@
 const (
 	maxFlows      = 1 << 15          // a host holds a few thousand
 	halfOpenFor   = 4 * time.Second  // a client gives up after 1.4 s
+	busyFor       = 10 * time.Second // time without a packet after which nobody waits for an answer any more
 	closedFor     = 5 * time.Second  // time that packets of an ended flow still go to the host
 	openFor       = 70 * time.Second // a flow in use is discarded by then at the latest
 	askFor        = 2 * time.Second  // time that a question put to the host stays open
@@ -214,6 +215,9 @@
 			return
 		}
 		keep := [...]time.Duration{halfOpen: halfOpenFor, open: openFor, closed: closedFor}[f.state]
+		if now.Sub(f.used) > busyFor {
+			t.setBusy(f, false)
+		}
 		if now.Sub(f.used) > keep {
 			t.remove(k, f)
 		}
