--- /dev/null
+++ b/internal/flowtable/cost_test.go
@@ -0,0 +1,72 @@
+package flowtable
+
+import (
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"skylarkturn/internal/packet"
+	"skylarkturn/internal/parcel"
+)
+
+func keyOf(i int) packet.Key {
+	return packet.Key{Client: packet.Endpoint{IP: 0x64400000 + uint32(i>>14), Port: uint16(1024 + i&0x3fff)}, Route: packet.Endpoint{IP: 0xc6120001, Port: 443}}
+}
+
+// Opens n flows in a table of a ready host.
+func filled(n int) (*Table, time.Time) {
+	now := time.Unix(1_800_000_000, 0)
+	t := New(now, time.Second, true)
+	t.Reported(now, Report{ID: "h1", Born: 1, Seq: 1, Service: "bookdesk", State: HostReady, Slots: 1 << 20}, nil)
+	from := netip.MustParseAddrPort("10.1.0.1:7400")
+	h := parcel.Header{Kind: parcel.Deliver, Service: parcel.ServiceIDOf("bookdesk")}
+	var out []Action
+	for i := range n {
+		k := keyOf(i)
+		out = t.Deliver(now, from, &h, &packet.Head{Flags: packet.SYN, Src: k.Client, Dst: k.Route}, nil, out[:0])
+		out = t.Outbound(now, &packet.Head{Flags: packet.SYN | packet.ACK, Src: k.Route, Dst: k.Client, Seq: 100}, nil, out[:0])
+		out = t.Deliver(now, from, &h, &packet.Head{Flags: packet.ACK, Src: k.Client, Dst: k.Route, Ack: 101}, nil, out[:0])
+	}
+	return t, now
+}
+
+// Reports the memory that a flow takes in an agent's table.
+func BenchmarkTableMemory(b *testing.B) {
+	const flows = 20_000
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		t, _ := filled(flows)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/flows, "B/flow")
+		runtime.KeepAlive(t)
+	}
+}
+
+// A snapshot of the flows that a host has at the size to design for, and its
+// comparison with the one before.
+func BenchmarkSnapshot(b *testing.B) {
+	t, now := filled(917)
+	now = now.Add(time.Minute)
+	old := t.Snapshot(now)
+	for b.Loop() {
+		s := t.Snapshot(now)
+		s.Outdates(old, time.Minute, time.Second)
+	}
+	b.ReportMetric(float64(len(old.EncodeFlows()))/float64(len(old.Flows)), "B/flow")
+}
+
+func BenchmarkDeliver(b *testing.B) {
+	t, now := filled(1000)
+	from := netip.MustParseAddrPort("10.1.0.1:7400")
+	k := keyOf(7)
+	h, p := parcel.Header{Kind: parcel.Deliver}, packet.Head{Flags: packet.ACK, Src: k.Client, Dst: k.Route, Ack: 101, DataLen: 100}
+	var out []Action
+	b.ReportAllocs()
+	for b.Loop() {
+		out = t.Deliver(now, from, &h, &p, nil, out[:0])
+	}
+}
