--- a/internal/platformstand/site.go
+++ b/internal/platformstand/site.go
@@ -33,6 +33,7 @@
 	ports    ports
 	reserved []io.Closer // holds the ports
 	storeURL *httptest.Server
+	toStore  *proxy // that daemons reach the store through
 	fabric   *fabric
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -91,6 +92,13 @@
 		return nil, err
 	}
 	s.storeURL = httptest.NewServer(s.Store)
+	if s.toStore, err = newProxy(s.storeURL.Listener.Addr().String(), rand.New(rand.NewPCG(o.Seed, 2))); err != nil {
+		s.storeURL.Close()
+		_ = s.fabric.conn.Close() // nobody sends yet
+		s.release()
+		cancel()
+		return nil, err
+	}
 	s.done.Go(func() { s.fabric.probe(ctx) })
 	return s, nil
 }
@@ -283,6 +291,10 @@
 // Lose loses a share of the clients' packets on their way to balancers.
 func (s *Site) Lose(share float64) { s.fabric.lose(share) }
 
+// HarmStore does harm to a share of the connections to the store, open and new
+// ones; NoHarm ends it.
+func (s *Site) HarmStore(h Harm, share float64) { s.toStore.do(h, share) }
+
 // Close ends clients, hosts and daemons.
 func (s *Site) Close() {
 	s.cancel()
@@ -293,6 +305,7 @@
 		v.Remove()
 	}
 	s.done.Wait()
+	s.toStore.close()
 	s.Store.Close()
 	s.storeURL.CloseClientConnections()
 	s.storeURL.Close()
@@ -312,7 +325,7 @@
 		fmt.Sprintf("port-range=%d,%d", p.inner, p.inner+1),
 		fmt.Sprintf("seeds=%v:%d,%v:%d", s.vm(0), p.control, s.vm(1), p.control),
 		fmt.Sprint("bootstrap=", s.firstRun), "bounds.grace-s=6",
-		"platform.address=" + strings.TrimPrefix(s.storeURL.URL, "http://"),
+		"platform.address=" + s.toStore.addr(),
 	}
 	if v.Service != "" {
 		lines = append(lines, "listen.outbound="+at(p.outbound), "app="+at(p.app), "service="+v.Service)
--- a/internal/platformstand/soak.go
+++ b/internal/platformstand/soak.go
@@ -152,7 +152,7 @@
 func (k *soak) faults(ctx context.Context, end time.Time) {
 	kinds := []func(){
 		k.killDaemons, k.killDaemons, k.killAll, k.freeze, k.rollBalancers, k.hup, k.crashHost, k.release, k.release,
-		k.failStore, k.failStore, k.compact, k.configure, k.configure, k.configure, k.lose, k.addBalancer,
+		k.failStore, k.failStore, k.harmStore, k.harmStore, k.compact, k.configure, k.configure, k.configure, k.lose, k.addBalancer,
 	}
 	for ctx.Err() == nil && time.Now().Before(end) {
 		kinds[k.rand.IntN(len(kinds))]()
@@ -293,6 +293,19 @@
 	})
 }
 
+// Harms connections to the store on their way, as a network does.
+func (k *soak) harmStore() {
+	harm := Late + Harm(k.rand.IntN(int(harms-Late)))
+	share := 0.3 + 0.7*k.rand.Float64()
+	d := k.pause(4 * time.Second)
+	k.say("%v for %.0f%% of the connections to the store for %v", harm, 100*share, d)
+	k.site.HarmStore(harm, share)
+	k.done.Go(func() {
+		time.Sleep(d)
+		k.site.HarmStore(NoHarm, 0)
+	})
+}
+
 func (k *soak) compact() {
 	k.say("store forgets its history")
 	k.site.Store.Compact()
