--- a/cmd/skylark-stand/main.go
+++ b/cmd/skylark-stand/main.go
@@ -80,6 +80,7 @@
 	File string `arg:"" help:"Experiment, see docs/EXPERIMENTS.md." type:"existingfile"`
 	Bin  string `help:"Directory of skylark-balancer and skylark-agent; the one of this program when empty." type:"path"`
 	JSON bool   `help:"Print the result as one JSON object."`
+	Dir  string `help:"Directory for the log and, for the command report, run.json of an experiment on the users' platform; a temporary one when empty." type:"path"`
 }
 
 // Run runs an experiment.
@@ -92,6 +93,9 @@
 	if err != nil {
 		return err
 	}
+	if e.Platform {
+		return c.onPlatform(ctx, &e, bin)
+	}
 	return run(ctx, &e, bin, c.JSON)
 }
 
--- a/cmd/skylark-stand/soak.go
+++ b/cmd/skylark-stand/soak.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"skylarkturn/internal/platformstand"
+	"skylarkturn/internal/standin"
 )
 
 type soakCmd struct {
@@ -41,13 +42,10 @@
 	if err != nil {
 		return err
 	}
-	dir := c.Dir
-	if dir == "" {
-		if dir, err = os.MkdirTemp("", "skylark-soak"); err != nil {
-			return err
-		}
+	dir, err := logDir(c.Dir)
+	if err != nil {
+		return err
 	}
-	fmt.Fprintln(os.Stderr, "logs are in", dir)
 	var (
 		mu      sync.Mutex
 		running sync.WaitGroup
@@ -109,3 +107,44 @@
 		fmt.Println("  broken:", b)
 	}
 }
+
+// Plays an experiment on stand-ins of the platform.
+func (c *runCmd) onPlatform(ctx context.Context, e *standin.Experiment, bin string) error {
+	if err := e.Check(); err != nil {
+		return err
+	}
+	dir, err := logDir(c.Dir)
+	if err != nil {
+		return err
+	}
+	f, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	r, err := platformstand.Play(ctx, e, platformstand.ExperimentOptions{Bin: bin, Dir: dir, Log: f})
+	if err == nil {
+		err = writeRun(filepath.Join(dir, "run.json"), &r.Run)
+	}
+	if err != nil {
+		return err
+	}
+	(&soakCmd{JSON: c.JSON}).print(soakResult{e.Seed, r.Requests, r.Share, r.After, r.Failures, r.Broken})
+	if len(r.Broken) > 0 {
+		return errBroken
+	}
+	return nil
+}
+
+// Returns the directory for logs, a temporary one where none is named, and tells
+// where it is.
+func logDir(dir string) (string, error) {
+	var err error
+	if dir == "" {
+		dir, err = os.MkdirTemp("", "skylark-stand")
+	} else {
+		err = os.MkdirAll(dir, 0o755)
+	}
+	fmt.Fprintln(os.Stderr, "logs are in", dir)
+	return dir, err
+}
--- /dev/null
+++ b/internal/platformstand/experiment_test.go
@@ -0,0 +1,52 @@
+package platformstand
+
+import (
+	"errors"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/go-quicktest/qt"
+
+	"skylarkturn/internal/settings"
+	"skylarkturn/internal/standin"
+)
+
+func load(t *testing.T, path string) *standin.Experiment {
+	t.Helper()
+	var e standin.Experiment
+	qt.Assert(t, qt.IsNil(settings.Load(path, &e)))
+	qt.Assert(t, qt.IsNil(e.Check()))
+	return &e
+}
+
+func TestExperimentOnThePlatform(t *testing.T) {
+	e := load(t, "testdata/short.toml")
+	r, err := Play(t.Context(), e, ExperimentOptions{Bin: build(t), Dir: t.TempDir(), Log: os.Stderr})
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.HasLen(r.Broken, 0))
+	qt.Check(t, qt.IsTrue(r.Requests > 0))
+	qt.Check(t, qt.IsTrue(len(r.Run.Windows) >= int(time.Duration(e.Duration)/windowLength)))
+	var what []string
+	for _, ev := range r.Run.Events {
+		what = append(what, ev.What)
+	}
+	qt.Check(t, qt.ContentEquals(what, []string{"kill_target kitdocs-1", "start_target kitdocs-1", "crash_host bookdesk-1", "kill_all", "compact"}))
+}
+
+func TestExperimentsThatThePlatformCanNotPlay(t *testing.T) {
+	for path, key := range map[string]string{
+		"../../testdata/experiments/zone-loss.toml":           "event.action",
+		"../../testdata/experiments/platform-power-loss.toml": "",
+		"testdata/many-users.toml":                            "site.service.sessions",
+	} {
+		err := CheckExperiment(load(t, path))
+		var invalid *settings.Error
+		switch {
+		case key == "":
+			qt.Check(t, qt.IsNil(err))
+		case qt.Check(t, qt.IsTrue(errors.As(err, &invalid)), qt.Commentf("%s", path)):
+			qt.Check(t, qt.StringContains(err.Error(), key))
+		}
+	}
+}
--- a/internal/platformstand/soak.go
+++ b/internal/platformstand/soak.go
@@ -85,13 +85,16 @@
 	if r.After < minAfter {
 		r.Broken = append(r.Broken, fmt.Sprintf("RECOVER: %.3f of the requests were served in the calm after the faults", r.After))
 	}
-	r.Run = k.report(r)
+	k.mu.Lock()
+	events := slices.Clone(k.events)
+	k.mu.Unlock()
+	r.Run = runOf(fmt.Sprintf("soak, seed %d", k.Seed), &r, site, k.began, events)
 	return r, ctx.Err()
 }
 
-// Returns the run for a report.
-func (k *soak) report(r Result) report.Run {
-	run := report.Run{Name: fmt.Sprintf("soak, seed %d", k.Seed), Windows: k.site.Record.Windows(k.began)}
+// Returns a run for a report.
+func runOf(name string, r *Result, site *Site, began time.Time, events []report.Event) report.Run {
+	run := report.Run{Name: name, Windows: site.Record.Windows(began), Events: events}
 	run.Figures = []report.Figure{
 		{Name: "requests", Value: float64(r.Requests)}, {Name: "share served", Value: r.Share},
 		{Name: "share served after the faults", Value: r.After}, {Name: "promises broken", Value: float64(len(r.Broken))},
@@ -99,10 +102,7 @@
 	for _, reason := range slices.Sorted(maps.Keys(r.Failures)) {
 		run.Counts = append(run.Counts, report.Figure{Name: "failed: " + reason, Value: float64(r.Failures[reason])})
 	}
-	run.Counts = append(run.Counts, k.site.Decisions()...)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	run.Events = slices.Clone(k.events)
+	run.Counts = append(run.Counts, site.Decisions()...)
 	return run
 }
 
@@ -211,17 +211,7 @@
 	pause := k.pause(1500 * time.Millisecond)
 	k.say("kill all, power %v, start after %v", power, pause)
 	for _, v := range append(k.pick(true, 99), k.pick(false, 99)...) {
-		k.do(v, func() error {
-			if power && v.Host != nil {
-				v.Host.Crash()
-			}
-			v.Kill()
-			err := v.Restart(pause)
-			if err == nil && power && v.Host != nil {
-				err = v.StartHost()
-			}
-			return err
-		})
+		k.do(v, func() error { return v.cycle(pause, power) })
 	}
 }
 
--- a/internal/standin/experiment.go
+++ b/internal/standin/experiment.go
@@ -20,6 +20,7 @@
 	Name     string            `toml:"name"`
 	Seed     uint64            `toml:"seed"`
 	Duration settings.Duration `toml:"duration"` // of the load
+	Platform bool              `toml:"platform"` // on stand-ins of the users' platform
 	Sites    []Site            `toml:"site"`
 	Events   []Event           `toml:"event"`
 }
@@ -84,6 +85,10 @@
 	ActionSilence        = "silence"       // all flows open now go silent for good
 	ActionSlowHost       = "slow_host"     // to count percent of its speed
 	ActionLyingHost      = "lying_host"    // its health endpoint says unhealthy while it works
+	ActionCrashHost      = "crash_host"    // on the users' platform, a host ends and starts after delay
+	ActionKillAll        = "kill_all"      // there, all daemons are killed and start after delay
+	ActionPowerLoss      = "power_loss"    // there, the hosts as well
+	ActionCompact        = "compact"       // there, the store forgets its history
 )
 
 var actions = []string{
@@ -92,6 +97,9 @@
 	ActionPlatformSlow, ActionLoseAnswers, ActionFaults, ActionSilence, ActionSlowHost, ActionLyingHost,
 }
 
+// Actions of the users' platform alone.
+var platformActions = []string{ActionCrashHost, ActionKillAll, ActionPowerLoss, ActionCompact}
+
 const (
 	maxProcesses = 200
 	maxSessions  = 20_000
@@ -142,7 +150,7 @@
 }
 
 func (e *Experiment) checkEvent(ev *Event) error {
-	if !slices.Contains(actions, ev.Action) {
+	if !slices.Contains(actions, ev.Action) && !(e.Platform && slices.Contains(platformActions, ev.Action)) {
 		return settings.Invalid("event.action", "%q is not one of %s", ev.Action, strings.Join(actions, ", "))
 	}
 	if ev.At > e.Duration {
