A flow that is refused for load gets its answer in time

Each target looks open again 50 ms after it has refused, so a flow went from one to the next and its wait was never over; agents answered 15,752 such packets a second.

A flow that was refused for load is reset when it has waited 0.6 s, wherever it is. Refusals of a target that stays crowded double its pause up to 0.4 s; a flow that it takes halves it.

--- a/internal/steering/place.go
+++ b/internal/steering/place.go
@@ -42,6 +42,10 @@
 	if t.routes == nil {
 		return append(out, t.park(now, k, f, raw))
 	}
+	if f.crowded && now.Sub(f.since) >= crowdedWait {
+		f.tried = f.tried[:0] // a later copy may try them again
+		return append(out, Action{Verb: Reset, Cause: AllRefused, Flow: k, ClientAck: clientAck})
+	}
 	hash := k.Hash()
 	service, ok := t.routes.Lookup(k.Route).Service(hash)
 	if !ok {
@@ -128,7 +132,8 @@
 	crowded := n != nil && h.Reason == parcel.Crowded
 	switch {
 	case crowded:
-		n.crowd.refused = now
+		n.refuseCrowded(now)
+		f.crowded = true
 	case n != nil && h.Reason != parcel.Full:
 		n.refusing = true
 	}
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -27,17 +27,18 @@
 )
 
 type flow struct {
-	owner  netip.AddrPort // not valid while unknown
-	owned  bool           // the owner has confirmed it
-	opened bool           // the client has sent more than the opening packet, and not its last
-	copies uint32         // number of the newest copy of the opening packet
-	tried  []netip.AddrPort
-	since  time.Time
-	used   time.Time
-	ack    uint32    // the client's newest acknowledgement number
-	lost   time.Time // when no agent held it
-	lookup *lookup
-	parked *parked
+	owner   netip.AddrPort // not valid while unknown
+	owned   bool           // the owner has confirmed it
+	crowded bool           // a target has refused it for its load
+	opened  bool           // the client has sent more than the opening packet, and not its last
+	copies  uint32         // number of the newest copy of the opening packet
+	tried   []netip.AddrPort
+	since   time.Time
+	used    time.Time
+	ack     uint32    // the client's newest acknowledgement number
+	lost    time.Time // when no agent held it
+	lookup  *lookup
+	parked  *parked
 }
 
 // parked is the packet that opens a flow, until there is a target for it.
@@ -229,6 +230,9 @@
 	if f == nil {
 		f = t.remember(now, k)
 	}
+	if n := t.targets[from]; n != nil && !f.owned && f.owner == from {
+		n.accept()
+	}
 	f.owner, f.owned, f.used, f.lost = from, true, now, time.Time{}
 	l := f.lookup
 	if l == nil {
--- a/internal/steering/target.go
+++ b/internal/steering/target.go
@@ -38,46 +38,67 @@
 }
 
 const (
-	crowdedFor   = 50 * time.Millisecond  // time that a crowded target gets no new flows; it ends some requests in it
-	crowdingFor  = 500 * time.Millisecond // time for which it then gets them slowly
-	crowdedPause = 50 * time.Millisecond  // in which a crowding target gets one flow for each slot
-	crowdedWait  = 600 * time.Millisecond // that a new flow waits at most for a crowded service
+	minCrowdPause = 50 * time.Millisecond  // first pause of a crowded target; it ends some requests in it
+	maxCrowdPause = 400 * time.Millisecond // an agent's next heartbeat tells its load by then
+	crowdingFor   = 500 * time.Millisecond // after the last refusal, or twice the pause, a target gets flows as before
+	crowdedWait   = 600 * time.Millisecond // that a new flow waits at most for a crowded service
 )
 
-// crowd tells how a target that has refused new flows for its load gets others.
+// crowd tells how a target that has refused new flows for its load gets others: one
+// for each slot in a pause, which doubles while they are refused, too. A fleet of
+// many balancers thus does not keep agents busy with refusals.
 type crowd struct {
 	refused time.Time // last refusal
+	pause   time.Duration
 	began   time.Time // of the current pause
 	given   float64   // flows since then
 }
 
 // Reports whether the target is to get no new flow now, but soon.
 func (t *target) crowded(now time.Time) bool {
-	if t.crowd.refused.IsZero() {
+	c := &t.crowd
+	if c.refused.IsZero() {
 		return false
 	}
-	since := now.Sub(t.crowd.refused)
+	since := now.Sub(c.refused)
 	switch {
-	case since < crowdedFor:
+	case since < c.pause:
 		return true
-	case since >= crowdingFor:
+	case since >= max(crowdingFor, 2*c.pause):
 		return false
 	}
-	return now.Sub(t.crowd.began) < crowdedPause && t.crowd.given >= t.Weight
+	return now.Sub(c.began) < c.pause && c.given >= t.Weight
 }
 
 // Counts a new flow given to the target.
 func (t *target) give(now time.Time) {
 	t.placed++
-	if t.crowd.refused.IsZero() {
+	c := &t.crowd
+	if c.refused.IsZero() {
 		return
 	}
-	if now.Sub(t.crowd.began) >= crowdedPause {
-		t.crowd.began, t.crowd.given = now, 0
+	if now.Sub(c.began) >= c.pause {
+		c.began, c.given = now, 0
 	}
-	t.crowd.given++
+	c.given++
 }
 
+// Notes that the target has refused a flow for its load.
+func (t *target) refuseCrowded(now time.Time) {
+	c := &t.crowd
+	since := now.Sub(c.refused)
+	switch {
+	case c.refused.IsZero() || since >= max(crowdingFor, 2*c.pause):
+		c.pause = minCrowdPause
+	case since >= c.pause:
+		c.pause = min(2*c.pause, maxCrowdPause)
+	}
+	c.refused = now
+}
+
+// Notes that the target has taken a flow.
+func (t *target) accept() { t.crowd.pause = max(t.crowd.pause/2, minCrowdPause) }
+
 // comingFor is the time that a target which does not take new flows yet is waited
 // for: hosts that start report within it, and those that have crashed take longer.
 const comingFor = 2 * time.Second
