A reused port opens a flow anew; the oldest flow is placed first

Found by reading: a flow that was refused for load kept the time of its first packet, so a client that opened another one from the same port within 30 s was reset at once where its target had gone; and flows that were refused again queued behind later ones.

--- a/internal/flowtable/snapshot.go
+++ b/internal/flowtable/snapshot.go
@@ -10,7 +10,7 @@
 
 const (
 	lastingAfter = time.Second // age from which a flow is kept in snapshots; shorter ones end before they are written
-	maxSnapshot  = 1 << 13     // flows; 128 KiB of the store's smallest limit of values
+	maxSnapshot  = 1 << 13     // flows; 175 KB as JSON; the store takes 1 MiB
 
 	// ackDrift is the number of bytes that a client may acknowledge before the flow
 	// counts as changed. Clients ignore a reset that misses their position by more
--- a/internal/steering/place.go
+++ b/internal/steering/place.go
@@ -21,6 +21,9 @@
 	if f.parked != nil {
 		return append(out, Action{Verb: Drop, Cause: Waiting, Flow: k})
 	}
+	if now.Sub(f.since) >= openingFor {
+		f.renew(now)
+	}
 	later := h.Ack > f.copies
 	f.copies = max(f.copies, h.Ack)
 	switch owner := t.targets[f.owner]; {
@@ -85,14 +88,14 @@
 // Keeps the packet that opens a flow until more is known of routes and targets.
 func (t *Table) park(now time.Time, k packet.Key, f *flow, raw []byte) Action {
 	if f.parked == nil && len(t.pending) < maxPending {
-		f.parked = &parked{slices.Clone(raw), now}
+		f.parked = slices.Clone(raw)
 		t.pending[k] = f
 	}
 	return Action{Verb: Drop, Cause: Unsettled, Flow: k}
 }
 
-// Tries again to place the flows whose opening packets are parked, in the order
-// in which these came.
+// Tries again to place the flows whose opening packets are parked, the oldest
+// first.
 func (t *Table) unparkAll(now time.Time, out []Action) []Action {
 	waiting := make([]packet.Key, 0, len(t.pending))
 	for k, f := range t.pending {
@@ -100,7 +103,7 @@
 			waiting = append(waiting, k)
 		}
 	}
-	slices.SortFunc(waiting, func(a, b packet.Key) int { return t.pending[a].parked.since.Compare(t.pending[b].parked.since) })
+	slices.SortFunc(waiting, func(a, b packet.Key) int { return t.pending[a].since.Compare(t.pending[b].since) })
 	for _, k := range waiting {
 		out = t.unpark(now, k, t.pending[k], out)
 	}
@@ -109,19 +112,18 @@
 
 // Tries again to place a flow whose opening packet is parked.
 func (t *Table) unpark(now time.Time, k packet.Key, f *flow, out []Action) []Action {
-	p := f.parked
+	raw := f.parked
 	f.parked = nil
 	delete(t.pending, k)
-	if now.Sub(p.since) >= openingFor {
+	if now.Sub(f.since) >= openingFor {
 		return out
 	}
 	if t.routes != nil && t.routes.Lookup(k.Route) == nil {
 		return append(out, Action{Verb: Reset, Cause: NoRoute, Flow: k})
 	}
 	before := len(out)
-	out = t.place(now, k, f, f.copies, p.raw, out)
+	out = t.place(now, k, f, f.copies, raw, out)
 	if f.parked != nil {
-		f.parked.since = p.since
 		return out[:before] // nothing new to tell
 	}
 	return out
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -33,18 +33,18 @@
 	opened  bool           // the client has sent more than the opening packet, and not its last
 	copies  uint32         // number of the newest copy of the opening packet
 	tried   []netip.AddrPort
-	since   time.Time
+	since   time.Time // when it was first seen
 	used    time.Time
 	ack     uint32    // the client's newest acknowledgement number
 	lost    time.Time // when no agent held it
 	lookup  *lookup
-	parked  *parked
+	parked  []byte // the packet that opens the flow, until there is a target for it
 }
 
-// parked is the packet that opens a flow, until there is a target for it.
-type parked struct {
-	raw   []byte
-	since time.Time
+// Forgets earlier attempts to open a flow between the same ends: a client that
+// opens one so late has given them up.
+func (f *flow) renew(now time.Time) {
+	f.since, f.crowded, f.copies, f.tried = now, false, 0, nil
 }
 
 type lookup struct {
