--- a/internal/flowtable/crowd.go
+++ b/internal/flowtable/crowd.go
@@ -8,15 +8,15 @@
 	// each slot, and reject those beyond, which costs a client one of its few retries.
 	crowdedPerSlot = 3
 
-	// openingFor is the time within which an accepted flow brings its first request,
+	// firstRequestWithin is the time within which an accepted flow brings its first request,
 	// a few round trips to the client.
-	openingFor = 50 * time.Millisecond
+	firstRequestWithin = 50 * time.Millisecond
 )
 
 // Reports whether the host has so many requests waiting that a new flow is better
 // off elsewhere, or a little later.
 func (t *Table) crowded(now time.Time) bool {
-	for len(t.openings) > 0 && now.Sub(t.openings[0]) >= openingFor {
+	for len(t.openings) > 0 && now.Sub(t.openings[0]) >= firstRequestWithin {
 		t.openings = t.openings[1:]
 	}
 	slots := t.host.Slots
