--- a/internal/steering/place.go
+++ b/internal/steering/place.go
@@ -1,6 +1,7 @@
 package steering
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 	"time"
@@ -103,7 +104,9 @@
 			waiting = append(waiting, k)
 		}
 	}
-	slices.SortFunc(waiting, func(a, b packet.Key) int { return t.pending[a].since.Compare(t.pending[b].since) })
+	slices.SortFunc(waiting, func(a, b packet.Key) int {
+		return cmp.Or(t.pending[a].since.Compare(t.pending[b].since), cmp.Compare(a.Hash(), b.Hash()))
+	})
 	for _, k := range waiting {
 		out = t.unpark(now, k, t.pending[k], out)
 	}
