Count a packet for the host under the lock that decided on it

The agent locked its table and read the clock a second time for each packet it gave to its host, only to count it, and after it was sent, so that an answer could come before the count. It is counted when it is decided.

--- a/internal/hostside/forward.go
+++ b/internal/hostside/forward.go
@@ -36,6 +36,11 @@
 	a.mu.Lock()
 	out := a.flows.Deliver(now, from, h, &p, content, nil)
 	suspicious := a.flows.Suspicious(now)
+	for i := range out {
+		if out[i].Verb == flowtable.ToHost {
+			a.flows.Given(now)
+		}
+	}
 	a.mu.Unlock()
 	a.act(out)
 	if suspicious {
@@ -88,7 +93,7 @@
 		a.counters.actions[x.Verb][x.Cause].Inc()
 		switch x.Verb {
 		case flowtable.ToHost:
-			a.giveToHost(x.Packet)
+			a.send(x.Packet, a.cfg.Host)
 		case flowtable.ToClient:
 			a.send(x.Packet, a.clientAddr(x.Flow))
 		case flowtable.Reply:
@@ -101,13 +106,6 @@
 	}
 }
 
-func (a *Agent) giveToHost(raw []byte) {
-	a.send(raw, a.cfg.Host)
-	a.mu.Lock()
-	a.flows.Given(time.Now())
-	a.mu.Unlock()
-}
-
 func (a *Agent) clientAddr(k packet.Key) netip.AddrPort {
 	return netip.AddrPortFrom(k.Client.Addr(), a.cfg.ClientPort)
 }
