One piece of code where entry and hostside, and others, had two

daemon.RunParts runs the goroutines of both daemons and ends them; registry.Seek looks for balancers for both; ops.Metrics serves metrics (also for the product's balancer and agent), ops.Gauges reads gauges under a lock, ops.AddrOf says where a daemon's metrics are (five places knew). /debug/flows encodes the type that skylarkctl decodes. packet.Endpoint.Hash stands for a sum written out twice. membership has one rule for intervals before all members are known. The soak and experiments of the stand-in share their results and steps. No behaviour changes; no test's expectation does.

--- a/cmd/skylark-stand/soak.go
+++ b/cmd/skylark-stand/soak.go
@@ -66,7 +66,7 @@
 				return
 			}
 			broken = broken || len(r.Broken) > 0
-			c.print(r)
+			r.print(c.JSON)
 		})
 	}
 	running.Wait()
@@ -94,11 +94,15 @@
 	if err == nil && c.Report {
 		err = writeRun(filepath.Join(run, "run.json"), &r.Run)
 	}
-	return soakResult{seed, r.Requests, r.Share, r.After, r.Failures, r.Broken}, err
+	return newSoakResult(seed, &r), err
 }
 
-func (c *soakCmd) print(r soakResult) {
-	if c.JSON {
+func newSoakResult(seed uint64, r *platformstand.Result) soakResult {
+	return soakResult{seed, r.Requests, r.Share, r.After, r.Failures, r.Broken}
+}
+
+func (r soakResult) print(asJSON bool) {
+	if asJSON {
 		_ = json.NewEncoder(os.Stdout).Encode(r) // the reader may have gone
 		return
 	}
@@ -129,7 +133,7 @@
 	if err != nil {
 		return err
 	}
-	(&soakCmd{JSON: c.JSON}).print(soakResult{e.Seed, r.Requests, r.Share, r.After, r.Failures, r.Broken})
+	newSoakResult(e.Seed, &r).print(c.JSON)
 	if len(r.Broken) > 0 {
 		return errBroken
 	}
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"net/http"
 
-	"github.com/VictoriaMetrics/metrics"
-
 	"skylarkturn/internal/ops"
 )
 
@@ -26,10 +24,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(healthView{a.cfg.Name, state.String(), a.sessions.Load(), a.requests.busy()}) // the prober is gone
 	})
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		a.metrics.WritePrometheus(w)
-		metrics.WritePrometheus(w, true)
-	})
+	mux.Handle("GET /metrics", ops.Metrics(a.metrics.WritePrometheus, ops.Process))
 	ops.Profiles(mux)
 	return ops.Serve(ctx, a.ops, mux)
 }
--- a/internal/balancer/operators.go
+++ b/internal/balancer/operators.go
@@ -18,8 +18,6 @@
 	"skylarkturn/internal/ops"
 	"skylarkturn/internal/roster"
 	"skylarkturn/internal/service"
-
-	"github.com/VictoriaMetrics/metrics"
 )
 
 const (
@@ -131,10 +129,7 @@
 func (b *Balancer) serveOps(ctx context.Context) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", b.health)
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		b.metrics.WritePrometheus(w)
-		metrics.WritePrometheus(w, true)
-	})
+	mux.Handle("GET /metrics", ops.Metrics(b.metrics.WritePrometheus, ops.Process))
 	ops.Profiles(mux)
 	return ops.Serve(ctx, b.ops, mux)
 }
--- a/internal/entry/config.go
+++ b/internal/entry/config.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"skylarkturn/internal/fleet"
+	"skylarkturn/internal/ops"
 	"skylarkturn/internal/pace"
 	"skylarkturn/internal/platform"
 	"skylarkturn/internal/route"
@@ -188,8 +189,7 @@
 func (b *Balancer) fetch(ctx context.Context, peer netip.AddrPort) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	ops := netip.AddrPortFrom(peer.Addr(), peer.Port()+1) // as Settings of the platform lay the ports out
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ops.String()+"/config", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ops.AddrOf(peer).String()+"/config", nil)
 	if err != nil {
 		return &Error{"fetch configuration", KindNetwork, err}
 	}
@@ -225,12 +225,7 @@
 	mux.Handle("GET "+fleet.FlowsPath, b.ring)
 	mux.Handle("GET "+fleet.StatusPath, fleet.Handler(b.status))
 	mux.Handle("GET "+fleet.MembersPath, fleet.Handler(b.memberList))
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
-		b.metrics.WritePrometheus(w)
-		if b.platform.Metrics != nil {
-			b.platform.Metrics(w)
-		}
-	})
+	mux.Handle("GET /metrics", ops.Metrics(b.metrics.WritePrometheus, b.platform.Metrics))
 	return mux
 }
 
--- a/internal/entry/counters.go
+++ b/internal/entry/counters.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"skylarkturn/internal/ops"
 	"skylarkturn/internal/parcel"
 	"skylarkturn/internal/steering"
 )
@@ -50,13 +51,7 @@
 
 // addGauges adds what is read when the metrics are.
 func (b *Balancer) addGauges() {
-	gauge := func(name string, read func() float64) {
-		b.metrics.NewGauge(name, func() float64 {
-			b.mu.Lock()
-			defer b.mu.Unlock()
-			return read()
-		})
-	}
+	gauge := ops.Gauges(b.metrics, &b.mu)
 	gauge(`skylark_config_version`, func() float64 { return float64(b.steer.Routes().Version()) })
 	gauge(`skylark_config_age_seconds`, func() float64 { return time.Since(b.taken).Seconds() })
 	gauge(`skylark_targets`, func() float64 { return float64(b.steer.TargetCount()) })
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,8 +14,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
-	"golang.org/x/sync/errgroup"
 
+	"skylarkturn/internal/daemon"
 	"skylarkturn/internal/inner"
 	"skylarkturn/internal/link"
 	"skylarkturn/internal/membership"
@@ -206,31 +206,18 @@
 // Run serves until ctx is done and the fabric has let go of the balancer, and
 // returns nil, or the error that ended it.
 func (b *Balancer) Run(ctx context.Context) error {
-	defer b.close()
-	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	g, running := errgroup.WithContext(running)
-	g.Go(func() error { return b.readClients(running) })
-	g.Go(func() error { return b.inner.Read(running, b) })
-	g.Go(func() error { return b.keepTime(running) })
-	g.Go(func() error { return b.followStore(running) })
-	g.Go(func() error { return b.checkStore(running) })
-	g.Go(func() error { return b.followPeers(running) })
-	g.Go(func() error { return b.keepRegistered(running) })
-	g.Go(func() error { return b.learnAgents(running) })
-	g.Go(func() error { return b.forgetDeparted(running) })
-	g.Go(func() error { return b.servers.Serve(running) })
-	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-			b.retire(running)
-		case <-running.Done():
-		}
-		cancel()
-		b.close()
-		return nil
-	})
-	return g.Wait()
+	return daemon.RunParts(ctx, b.retire, b.close,
+		b.readClients,
+		func(ctx context.Context) error { return b.inner.Read(ctx, b) },
+		b.keepTime,
+		b.followStore,
+		b.checkStore,
+		b.followPeers,
+		b.keepRegistered,
+		b.learnAgents,
+		b.forgetDeparted,
+		b.servers.Serve,
+	)
 }
 
 const (
--- a/internal/entry/registry.go
+++ b/internal/entry/registry.go
@@ -9,8 +9,6 @@
 
 const (
 	seedsAfter    = 150 * time.Millisecond // from the start; peers that run answer in less
-	minSeedsRetry = 300 * time.Millisecond
-	maxSeedsRetry = 3 * time.Second
 	departedEvery = 500 * time.Millisecond // between looks for agents to take out of the registry
 )
 
@@ -19,21 +17,16 @@
 func (b *Balancer) keepRegistered(ctx context.Context) error {
 	b.balancers.Register(ctx, b.cfg.Name, b.inner.Addr())
 	pace.Sleep(ctx, seedsAfter)
-	retry := pace.Backoff{Min: minSeedsRetry, Max: maxSeedsRetry}
-	for ctx.Err() == nil {
-		b.mu.Lock()
-		seeking := b.members.Seeking(time.Now())
-		b.mu.Unlock()
-		if seeking {
-			b.AddSeeds(b.balancers.Recent(ctx))
-		} else {
-			retry.Reset()
-		}
-		retry.Sleep(ctx)
-	}
+	b.balancers.Seek(ctx, b.seeking, b.AddSeeds)
 	return nil
 }
 
+func (b *Balancer) seeking() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.members.Seeking(time.Now())
+}
+
 // Learns from the registry which agents there are, so that a flow is not taken
 // for lost before all of them have been heard.
 func (b *Balancer) learnAgents(ctx context.Context) error {
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"skylarkturn/internal/ops"
 )
 
 // Kinds of errors.
@@ -202,11 +204,11 @@
 	return answers, nil
 }
 
-// Returns the metrics address of the daemon with the inner address: the next port.
+// Returns the metrics address of the daemon with the inner address.
 func opsAddr(inner string) (string, error) {
 	a, err := netip.ParseAddrPort(inner)
 	if err != nil {
 		return "", &Error{"find metrics address", KindFormat, err}
 	}
-	return netip.AddrPortFrom(a.Addr(), a.Port()+1).String(), nil
+	return ops.AddrOf(a).String(), nil
 }
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -68,7 +68,7 @@
 
 // Decision is one decision of a daemon about a flow.
 type Decision struct {
-	Daemon  string    `json:"daemon"`
+	Daemon  string    `json:"daemon,omitempty"` // who told of it
 	At      time.Time `json:"time"`
 	Flow    string    `json:"flow"`
 	Outcome string    `json:"outcome"`
--- a/internal/hostside/agent.go
+++ b/internal/hostside/agent.go
@@ -13,8 +13,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/phuslu/log"
-	"golang.org/x/sync/errgroup"
 
+	"skylarkturn/internal/daemon"
 	"skylarkturn/internal/fleet"
 	"skylarkturn/internal/flowtable"
 	"skylarkturn/internal/inner"
@@ -135,12 +135,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET "+fleet.FlowsPath, a.ring)
 	mux.Handle("GET "+fleet.StatusPath, fleet.Handler(a.status))
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, r *http.Request) {
-		a.metrics.WritePrometheus(w)
-		if a.platform.Metrics != nil {
-			a.platform.Metrics(w)
-		}
-	})
+	mux.Handle("GET /metrics", ops.Metrics(a.metrics.WritePrometheus, a.platform.Metrics))
 	if err := a.servers.Listen(a.cfg.Heartbeats, a.platform.Hosts(a)); err != nil {
 		return err
 	}
@@ -164,29 +159,16 @@
 // Run serves until ctx is done, says farewell, and returns nil, or the error
 // that ended it.
 func (a *Agent) Run(ctx context.Context) error {
-	defer a.close()
-	running, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	defer cancel()
-	g, running := errgroup.WithContext(running)
-	g.Go(func() error { return a.readHost(running) })
-	g.Go(func() error { return a.inner.Read(running, a) })
-	g.Go(func() error { return a.keepTime(running) })
-	g.Go(func() error { return a.register(running) })
-	g.Go(func() error { return a.seekBalancers(running) })
-	g.Go(func() error { return a.checkHost(running) })
-	g.Go(func() error { return a.keepSnapshot(running) })
-	g.Go(func() error { return a.servers.Serve(running) })
-	g.Go(func() error {
-		select {
-		case <-ctx.Done():
-			a.farewell(running)
-		case <-running.Done():
-		}
-		cancel()
-		a.close()
-		return nil
-	})
-	return g.Wait()
+	return daemon.RunParts(ctx, a.farewell, a.close,
+		a.readHost,
+		func(ctx context.Context) error { return a.inner.Read(ctx, a) },
+		a.keepTime,
+		a.register,
+		a.seekBalancers,
+		a.checkHost,
+		a.keepSnapshot,
+		a.servers.Serve,
+	)
 }
 
 // An agent whose host lives ends at once, since it is missed until it is back.
--- a/internal/hostside/counters.go
+++ b/internal/hostside/counters.go
@@ -7,6 +7,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"skylarkturn/internal/flowtable"
+	"skylarkturn/internal/ops"
 )
 
 type counters struct {
@@ -18,13 +19,7 @@
 
 // addGauges adds what is read when the metrics are.
 func (a *Agent) addGauges() {
-	gauge := func(name string, read func() float64) {
-		a.metrics.NewGauge(name, func() float64 {
-			a.mu.Lock()
-			defer a.mu.Unlock()
-			return read()
-		})
-	}
+	gauge := ops.Gauges(a.metrics, &a.mu)
 	gauge(`skylark_flows`, func() float64 { return float64(a.flows.Flows()) })
 	gauge(`skylark_flows_busy`, func() float64 { return float64(a.flows.Busy()) })
 	gauge(`skylark_flows_evicted`, func() float64 { return float64(a.flows.Evictions()) })
--- a/internal/hostside/registry.go
+++ b/internal/hostside/registry.go
@@ -7,11 +7,9 @@
 	"skylarkturn/internal/pace"
 )
 
-const (
-	seedsAfter    = 150 * time.Millisecond // from the first start; seeds that run answer in less
-	minSeedsRetry = 300 * time.Millisecond
-	maxSeedsRetry = 3 * time.Second
-)
+// seedsAfter is the time from the first start for which seeds alone are asked;
+// those that run answer in less.
+const seedsAfter = 150 * time.Millisecond
 
 // Registers the agent once it has a host; before, it holds no flow that balancers
 // would have to wait for.
@@ -30,17 +28,12 @@
 	if a.cfg.FirstStart {
 		pace.Sleep(ctx, seedsAfter) // the registry is empty yet
 	}
-	retry := pace.Backoff{Min: minSeedsRetry, Max: maxSeedsRetry}
-	for ctx.Err() == nil {
-		a.mu.Lock()
-		lone := a.members.Lone(time.Now())
-		a.mu.Unlock()
-		if lone {
-			a.AddSeeds(a.balancers.Recent(ctx))
-		} else {
-			retry.Reset()
-		}
-		retry.Sleep(ctx)
-	}
+	a.balancers.Seek(ctx, a.lone, a.AddSeeds)
 	return nil
 }
+
+func (a *Agent) lone() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.members.Lone(time.Now())
+}
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -117,7 +117,7 @@
 		b.gossiped = now
 		out = append(out, b.Gossip(now)...)
 	}
-	if b.Alone() || now.Sub(b.introduced) >= b.introduceInterval() {
+	if b.Alone() || now.Sub(b.introduced) >= b.interval(firstReintroduceEvery, reintroduceEvery) {
 		b.introduced = now
 		out = append(out, b.introductions(now)...)
 	}
@@ -137,13 +137,6 @@
 	return out
 }
 
-func (b *Balancer) introduceInterval() time.Duration {
-	if b.settled {
-		return reintroduceEvery
-	}
-	return firstReintroduceEvery
-}
-
 func (b *Balancer) introductions(now time.Time) (out []Outgoing) {
 	for _, a := range b.seeds {
 		if m, ok := b.members.Get(a); !ok || !roster.Live(&m) {
@@ -154,7 +147,17 @@
 }
 
 func (b *Balancer) message(now time.Time, kind control.Kind, members []roster.Member) *control.Message {
-	return &control.Message{Kind: kind, From: b.me, Members: members, Digest: b.members.Digest(), Version: b.version, Settled: b.settled, CheckedAgo: b.checkedAgo(now), Check: b.confirmed.number, Checker: b.confirmed.here}
+	return &control.Message{
+		Kind:       kind,
+		From:       b.me,
+		Members:    members,
+		Digest:     b.members.Digest(),
+		Version:    b.version,
+		Settled:    b.settled,
+		CheckedAgo: b.checkedAgo(now),
+		Check:      b.confirmed.number,
+		Checker:    b.confirmed.here,
+	}
 }
 
 // Receive takes a message and returns the answers.
@@ -162,10 +165,8 @@
 	if m.From.Addr == b.me.Addr {
 		return nil
 	}
-	if m.From.Role == roster.Balancer && m.Version > b.newest.Number {
-		b.newest = Version{m.Version, m.From.Addr}
-	}
 	if m.From.Role == roster.Balancer {
+		b.hearVersion(m)
 		b.hearCheck(now, m)
 	}
 	switch m.Kind {
@@ -179,6 +180,12 @@
 	return nil
 }
 
+func (b *Balancer) hearVersion(m *control.Message) {
+	if m.Version > b.newest.Number {
+		b.newest = Version{m.Version, m.From.Addr}
+	}
+}
+
 // Takes an agent's heartbeat, and answers it when the agent asks or when what
 // the agent says of itself is not what is known here.
 func (b *Balancer) heartbeat(now time.Time, m *control.Message) []Outgoing {
@@ -209,7 +216,7 @@
 		return append(out, Outgoing{m.From.Addr, b.message(now, control.Gossip, []roster.Member{known})})
 	}
 	b.hearView(m)
-	if len(m.Members) == 0 && m.Digest != b.members.Digest() && now.Sub(b.repaired) >= b.repairInterval() {
+	if len(m.Members) == 0 && m.Digest != b.members.Digest() && now.Sub(b.repaired) >= b.interval(firstRepairEvery, repairEvery) {
 		b.repaired = now
 		repair := b.message(now, control.Repair, nil)
 		repair.Buckets = b.members.Buckets()
@@ -218,11 +225,12 @@
 	return out
 }
 
-func (b *Balancer) repairInterval() time.Duration {
+// Returns the first interval until all members are known, then the other.
+func (b *Balancer) interval(first, settled time.Duration) time.Duration {
 	if b.settled {
-		return repairEvery
+		return settled
 	}
-	return firstRepairEvery
+	return first
 }
 
 // TickAfter returns the time until Tick is to be called again.
--- a/internal/membership/confirm.go
+++ b/internal/membership/confirm.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"skylarkturn/internal/control"
-	"skylarkturn/internal/flow"
 	"skylarkturn/internal/packet"
 	"skylarkturn/internal/roster"
 )
@@ -43,8 +42,7 @@
 	if b.confirmed.here || b.Alone() {
 		return b.confirmed.at.Add(checkEvery)
 	}
-	e := packet.EndpointOf(b.me.Addr)
-	share := float64(uint32(flow.Mix(uint64(e.IP)<<16|uint64(e.Port)))) / (1 << 32)
+	share := float64(uint32(packet.EndpointOf(b.me.Addr).Hash())) / (1 << 32)
 	return b.confirmed.at.Add(checkAfter + time.Duration(share*float64(checkSpread)))
 }
 
--- a/internal/ops/ops.go
+++ b/internal/ops/ops.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/pprof"
 	"net/netip"
+	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -90,6 +93,37 @@
 	}
 }
 
+// Metrics answers with what the writers write; nil ones are left out.
+func Metrics(writers ...func(io.Writer)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for _, write := range writers {
+			if write != nil {
+				write(w)
+			}
+		}
+	})
+}
+
+// Process writes the metrics of the process itself.
+func Process(w io.Writer) { metrics.WritePrometheus(w, true) }
+
+// Gauges returns a function that adds gauges to set, which are read with mu held.
+func Gauges(set *metrics.Set, mu sync.Locker) func(name string, read func() float64) {
+	return func(name string, read func() float64) {
+		set.NewGauge(name, func() float64 {
+			mu.Lock()
+			defer mu.Unlock()
+			return read()
+		})
+	}
+}
+
+// AddrOf returns the address of a daemon's metrics: the port after the one for
+// datagrams between daemons.
+func AddrOf(inner netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(inner.Addr(), inner.Port()+1)
+}
+
 // Profiles adds the profile endpoints, which answer on loopback only.
 func Profiles(mux *http.ServeMux) {
 	mux.HandleFunc("GET /debug/pprof/", local(pprof.Index))
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -6,6 +6,8 @@
 	"net/netip"
 
 	"github.com/zeebo/xxh3"
+
+	"skylarkturn/internal/flow"
 )
 
 // Flags are the flags of a packet.
@@ -35,6 +37,9 @@
 	return Endpoint{binary.BigEndian.Uint32(a4[:]), a.Port()}
 }
 
+// Hash returns a hash of the endpoint that is the same on every daemon.
+func (e Endpoint) Hash() uint64 { return flow.Mix(uint64(e.IP)<<16 | uint64(e.Port)) }
+
 // AddrPort returns the endpoint as a netip.AddrPort.
 func (e Endpoint) AddrPort() netip.AddrPort {
 	return netip.AddrPortFrom(e.Addr(), e.Port)
--- a/internal/platformstand/decisions.go
+++ b/internal/platformstand/decisions.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"maps"
 	"net/http"
-	"net/netip"
 	"regexp"
 	"slices"
 	"strconv"
@@ -22,7 +21,7 @@
 	totals := make(map[string]int)
 	for _, balancers := range []bool{true, false} {
 		for _, v := range s.VMs(balancers) {
-			if err := s.addDecisions(v, totals); err != nil {
+			if err := v.addDecisions(totals); err != nil {
 				totals["daemons that did not tell"]++
 			}
 		}
@@ -34,9 +33,8 @@
 	return figures
 }
 
-func (s *Site) addDecisions(v *VM, totals map[string]int) error {
-	at := netip.AddrPortFrom(v.Addr, s.ports.inner+1)
-	resp, err := http.Get("http://" + at.String() + "/metrics")
+func (v *VM) addDecisions(totals map[string]int) error {
+	resp, err := http.Get("http://" + v.ops().String() + "/metrics")
 	if err != nil {
 		return &Error{"read decisions", KindNetwork, err}
 	}
--- a/internal/platformstand/experiment.go
+++ b/internal/platformstand/experiment.go
@@ -182,10 +182,7 @@
 }
 
 func (x *experiment) result(ctx context.Context) (Result, error) {
-	record := x.site.Record
-	r := Result{Broken: record.Broken(), Failures: record.Failures()}
-	r.Share, r.Requests = record.Share(x.began)
-	r.After, _ = record.Share(time.Now().Add(-judgedCalm))
+	r := x.site.result(x.began)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	r.Run = runOf(x.Name, &r, x.site, x.began, x.events)
--- a/internal/platformstand/explain_test.go
+++ b/internal/platformstand/explain_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"io"
 	"net/http"
-	"net/netip"
 	"net/url"
 	"strings"
 	"sync"
@@ -83,10 +82,9 @@
 }
 
 // get returns what a daemon serves at its metrics address.
-func get(t *testing.T, s *Site, vm netip.Addr, path string) string {
+func get(t *testing.T, v *VM, path string) string {
 	t.Helper()
-	at := netip.AddrPortFrom(vm, s.ports.inner+1)
-	resp, err := http.Get("http://" + at.String() + path)
+	resp, err := http.Get("http://" + v.ops().String() + path)
 	qt.Assert(t, qt.IsNil(err))
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
@@ -95,9 +93,9 @@
 }
 
 // decisions returns what a daemon serves about a flow.
-func decisions(t *testing.T, s *Site, vm netip.Addr, flow string) string {
+func decisions(t *testing.T, v *VM, flow string) string {
 	t.Helper()
-	return get(t, s, vm, "/debug/flows?flow="+url.QueryEscape(flow))
+	return get(t, v, "/debug/flows?flow="+url.QueryEscape(flow))
 }
 
 func TestExplainResetOfLostHost(t *testing.T) {
@@ -110,7 +108,7 @@
 	host.Host.Crash()
 	line := log.await(t, `"event":"flow"`, `"outcome":"reset"`, `"cause":"host_ended"`)
 	log.await(t, `"event":"host_checked"`, `"result":"absent"`)
-	served := decisions(t, s, host.Addr, flowOf(t, line))
+	served := decisions(t, host, flowOf(t, line))
 	qt.Check(t, qt.StringContains(served, `"outcome":"own"`))
 	qt.Check(t, qt.StringContains(served, `"outcome":"reset","cause":"host_ended"`))
 }
@@ -122,7 +120,7 @@
 	}
 	qt.Assert(t, qt.IsNil(s.Clients(1)))
 	line := log.await(t, `"event":"flow"`, `"outcome":"reset"`, `"cause":"all_refused"`)
-	served := decisions(t, s, s.VMs(true)[0].Addr, flowOf(t, line))
+	served := decisions(t, s.VMs(true)[0], flowOf(t, line))
 	qt.Check(t, qt.StringContains(served, `"outcome":"send","cause":"placed"`))
 	qt.Check(t, qt.StringContains(served, `"outcome":"send","cause":"placed_again"`))
 	log.await(t, `"outcome":"refuse"`, `"cause":"full"`, flowOf(t, line)[:12])
@@ -140,7 +138,7 @@
 	line := log.await(t, `"event":"target"`, `"state":"suspect"`, host.Name)
 	qt.Check(t, qt.StringContains(line, host.Addr.String()))
 	line = log.await(t, `"event":"flow"`, `"outcome":"reset"`, `"cause":"owner_gone"`, host.Addr.String())
-	served := decisions(t, s, s.VMs(true)[0].Addr, flowOf(t, line))
+	served := decisions(t, s.VMs(true)[0], flowOf(t, line))
 	qt.Check(t, qt.StringContains(served, `"outcome":"send","cause":"placed","peer":"`+host.Addr.String()))
 	frozen.Wait()
 	log.await(t, `"event":"target"`, `"state":"ready"`, host.Name)
--- a/internal/platformstand/site.go
+++ b/internal/platformstand/site.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"skylarkturn/internal/ops"
 	"skylarkturn/internal/packet"
 	"skylarkturn/platform"
 )
@@ -390,6 +391,9 @@
 	}
 }
 
+// Returns the address of the daemon's metrics.
+func (v *VM) ops() netip.AddrPort { return ops.AddrOf(netip.AddrPortFrom(v.Addr, v.site.ports.inner)) }
+
 // Kill ends the daemon at once.
 func (v *VM) Kill() {
 	v.disrupted(0)
--- a/internal/platformstand/soak.go
+++ b/internal/platformstand/soak.go
@@ -79,9 +79,7 @@
 	site.Lose(0)
 	k.say("calm")
 	wait(ctx, calm)
-	r := Result{Broken: site.Record.Broken(), Failures: site.Record.Failures()}
-	r.Share, r.Requests = site.Record.Share(began)
-	r.After, _ = site.Record.Share(time.Now().Add(-judgedCalm))
+	r := site.result(began)
 	if r.After < minAfter {
 		r.Broken = append(r.Broken, fmt.Sprintf("RECOVER: %.3f of the requests were served in the calm after the faults", r.After))
 	}
@@ -92,6 +90,14 @@
 	return r, ctx.Err()
 }
 
+// Returns what clients and hosts have seen since a time.
+func (s *Site) result(began time.Time) Result {
+	r := Result{Broken: s.Record.Broken(), Failures: s.Record.Failures()}
+	r.Share, r.Requests = s.Record.Share(began)
+	r.After, _ = s.Record.Share(time.Now().Add(-judgedCalm))
+	return r
+}
+
 // Returns a run for a report.
 func runOf(name string, r *Result, site *Site, began time.Time, events []report.Event) report.Run {
 	run := report.Run{Name: name, Windows: site.Record.Windows(began), Events: events}
@@ -231,9 +237,9 @@
 	k.say("stop %d balancers in turn", len(vms))
 	for i, v := range vms {
 		k.do(v, func() error {
-			time.Sleep(time.Duration(i) * 1200 * time.Millisecond)
+			time.Sleep(time.Duration(i) * rollPause)
 			v.Stop()
-			return v.Restart(300 * time.Millisecond)
+			return v.Restart(restart)
 		})
 	}
 }
@@ -249,11 +255,7 @@
 	for _, v := range k.pick(false, 1) {
 		pause := k.pause(3 * time.Second)
 		k.say("crash the host of %s, start after %v", v.Name, pause)
-		k.do(v, func() error {
-			v.Host.Crash()
-			time.Sleep(pause)
-			return v.StartHost()
-		})
+		k.do(v, func() error { return crashHost(v, pause) })
 	}
 }
 
--- a/internal/platformstand/tool_test.go
+++ b/internal/platformstand/tool_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"errors"
-	"net/netip"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -17,7 +16,7 @@
 func ctl(t *testing.T, s *Site, args ...string) (output string, status int) {
 	t.Helper()
 	cmd := exec.CommandContext(t.Context(), filepath.Join(s.bin, "skylarkctl"), args...)
-	cmd.Env = []string{"SKYLARK_FLEET=" + netip.AddrPortFrom(s.VMs(true)[0].Addr, s.ports.inner+1).String()}
+	cmd.Env = []string{"SKYLARK_FLEET=" + s.VMs(true)[0].ops().String()}
 	out, err := cmd.CombinedOutput()
 	var exit *exec.ExitError
 	if err != nil && !errors.As(err, &exit) {
@@ -96,7 +95,7 @@
 			`skylark_store_call_seconds_count{kind="skylark-agents",call="post",result="ok"}`, `skylark_host_heartbeat_age_seconds`, `skylark_flows_busy`,
 		}},
 	} {
-		body := get(t, s, c.vm.Addr, "/metrics")
+		body := get(t, c.vm, "/metrics")
 		for _, w := range c.want {
 			qt.Check(t, qt.StringContains(body, w))
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -63,6 +63,25 @@
 	return addresses(found)
 }
 
+const (
+	minSeekRetry = 300 * time.Millisecond
+	maxSeekRetry = 3 * time.Second
+)
+
+// Seek hands over where daemons are, as long as and whenever seeking is true,
+// until ctx is done.
+func (r *Registry) Seek(ctx context.Context, seeking func() bool, found func([]netip.AddrPort)) {
+	retry := pace.Backoff{Min: minSeekRetry, Max: maxSeekRetry}
+	for ctx.Err() == nil {
+		if seeking() {
+			found(r.Recent(ctx))
+		} else {
+			retry.Reset()
+		}
+		retry.Sleep(ctx)
+	}
+}
+
 // Forget removes the note about a daemon; it tries once, for a short time.
 func (r *Registry) Forget(ctx context.Context, name string) error {
 	within, cancel := context.WithTimeout(ctx, forgetTimeout)
--- a/internal/steering/target.go
+++ b/internal/steering/target.go
@@ -119,10 +119,7 @@
 
 func (t *target) open() bool { return t.Ready && !t.Silent && !t.refusing && t.Weight > 0 }
 
-func agentHash(a netip.AddrPort) uint64 {
-	e := packet.EndpointOf(a)
-	return flowid.Mix(uint64(e.IP)<<16 | uint64(e.Port))
-}
+func agentHash(a netip.AddrPort) uint64 { return packet.EndpointOf(a).Hash() }
 
 // ranking holds the targets with the highest rendezvous scores for one flow, in
 // falling order.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"skylarkturn/internal/fleet"
 	"skylarkturn/internal/packet"
 )
 
@@ -61,15 +62,6 @@
 	return found
 }
 
-type decisionLine struct {
-	Time    time.Time `json:"time"`
-	Flow    string    `json:"flow"`
-	Outcome string    `json:"outcome"`
-	Cause   string    `json:"cause"`
-	Peer    string    `json:"peer,omitempty"`
-	Version uint64    `json:"version,omitempty"`
-}
-
 // ServeHTTP answers with a JSON line for each decision about the flow that the
 // query names.
 func (r *Ring) ServeHTTP(w http.ResponseWriter, req *http.Request) {
@@ -81,7 +73,7 @@
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	enc := json.NewEncoder(w)
 	for _, d := range r.Find(flow) {
-		line := decisionLine{d.At, flow, d.Outcome, d.Cause, d.Peer, d.Version}
+		line := fleet.Decision{At: d.At, Flow: flow, Outcome: d.Outcome, Cause: d.Cause, Peer: d.Peer, Version: d.Version}
 		if enc.Encode(line) != nil {
 			return // the reader has gone
 		}
