flowtable: forget the oldest ended incarnation, not all

Cause: recordEnded cleared the set of ended incarnations when its 65th entry came, so a late report of any of the 64 was taken for a new incarnation and ended the flows of the live host.

Ruled out: the start time as guard. Hosts whose reports carry no start time are told apart by ID alone, and the check of start times lapses after 4 s.

Change: a slice, oldest first, of which the oldest entry goes.

--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -1,6 +1,7 @@
 package flowtable
 
 import (
+	"slices"
 	"time"
 
 	"skylarkturn/internal/tunnel"
@@ -97,7 +98,7 @@
 	switch {
 	case known && !same && r.StartTime < old.StartTime && now.Sub(t.lastReport) < clockStepTimeout:
 		return Stale, out
-	case !same && t.endedIncarnations[incarnation{r.ID, r.StartTime}]:
+	case !same && slices.Contains(t.endedIncarnations, incarnation{r.ID, r.StartTime}):
 		return Stale, out
 	case same && (r.Seq < old.Seq || t.hostLeft):
 		return Stale, out
@@ -133,12 +134,13 @@
 // their late reports.
 const maxEndedIncarnations = 64
 
-// recordEnded records that an incarnation has ended.
+// recordEnded records that an incarnation has ended. The oldest record makes room
+// for it.
 func (t *Table) recordEnded(r Report) {
 	if len(t.endedIncarnations) >= maxEndedIncarnations {
-		clear(t.endedIncarnations)
+		t.endedIncarnations = slices.Delete(t.endedIncarnations, 0, 1)
 	}
-	t.endedIncarnations[incarnation{r.ID, r.StartTime}] = true
+	t.endedIncarnations = append(t.endedIncarnations, incarnation{r.ID, r.StartTime})
 }
 
 // HandleLeave handles a host's shutdown notice and reports whether it came from the
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -64,6 +64,13 @@
 		return nil
 	case "report":
 		return r.report(c)
+	case "restarts": // restarts N: the host restarts N times, each time with the next ID
+		for range nameIndex(r.t, "n"+c.Arg(0)) {
+			h, _ := r.table.Host()
+			h.ID, h.Seq = fmt.Sprint("h", nameIndex(r.t, h.ID)+1), 1
+			r.table.HandleReport(r.now, h, nil)
+		}
+		return nil
 	case "leave":
 		return []string{fmt.Sprint("current=", r.table.HandleLeave(r.now, c.Arg(0)))}
 	case "tick":
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -65,13 +65,13 @@
 	unanswered        unansweredPackets
 	flows             map[packet.Key]*flow
 	questions         map[packet.Key]pendingQuestion // by flow
-	endedIncarnations map[incarnation]bool
-	previous          Snapshot    // written by an earlier agent process
-	previousHostEnded bool        // the host of the previous snapshot is known to have ended
-	pendingOpens      []time.Time // when each flow that is not open yet was forwarded to the host, oldest first
-	activeFlows       int         // flows that are open or half open
-	busyFlows         int         // flows with a pending request
-	evictions         uint64      // flows evicted because the table was full
+	endedIncarnations []incarnation                  // oldest first
+	previous          Snapshot                       // written by an earlier agent process
+	previousHostEnded bool                           // the host of the previous snapshot is known to have ended
+	pendingOpens      []time.Time                    // when each flow that is not open yet was forwarded to the host, oldest first
+	activeFlows       int                            // flows that are open or half open
+	busyFlows         int                            // flows with a pending request
+	evictions         uint64                         // flows evicted because the table was full
 }
 
 // New returns the table of an agent that starts now and whose host reports at
@@ -79,12 +79,11 @@
 // agent, so the empty table is complete.
 func New(now time.Time, reportInterval time.Duration, firstStart bool) *Table {
 	return &Table{
-		started:           now,
-		reportInterval:    reportInterval,
-		complete:          firstStart,
-		flows:             make(map[packet.Key]*flow),
-		questions:         make(map[packet.Key]pendingQuestion),
-		endedIncarnations: make(map[incarnation]bool),
+		started:        now,
+		reportInterval: reportInterval,
+		complete:       firstStart,
+		flows:          make(map[packet.Key]*flow),
+		questions:      make(map[packet.Key]pendingQuestion),
 	}
 }
 
