peer: a slow TLS handshake does not fail the first call

Cause: grpc.ConnectParams without MinConnectTimeout. gRPC then ends the first connection attempt after the base delay of the backoff (100 ms), though the caller's context allows 700 ms: "no answer (ready)" for a balancer that runs.

Ruled out: the caller's context (the failed call lasted 160 ms of no limit in the test), the frozen balancer itself (another one failed).

Change: minConnectTimeout of 5 s, longer than the contexts of calls, which end them sooner.

Before: TestSlowHandshakeDoesNotFailCall, a handshake delayed by 150 ms, failed with "authentication handshake failed: context deadline exceeded". After: it passes.

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -56,6 +56,11 @@
 	serviceName     = "skylarkturn.Peer"
 	idleTimeout     = 30 * time.Second // after which an unused connection is closed
 	maxReceiveBytes = 64 << 20         // enough for the whole configuration
+
+	// minConnectTimeout is longer than the contexts of calls, which end them sooner.
+	// If it were zero, gRPC would end the first connection attempt after the base delay
+	// of reconnectBackoff.
+	minConnectTimeout = 5 * time.Second
 )
 
 // reconnectBackoff is shorter than the default of gRPC, since a daemon that
@@ -285,7 +290,7 @@
 		grpc.WithDefaultCallOptions(grpc.ForceCodec(codec{}), grpc.MaxCallRecvMsgSize(maxReceiveBytes)),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithContextDialer(c.dial),
-		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff}),
+		grpc.WithConnectParams(grpc.ConnectParams{Backoff: reconnectBackoff, MinConnectTimeout: minConnectTimeout}),
 	)
 	if err != nil {
 		return nil, err
