A store restored from an older copy: epochs, records written again

Cause: nothing read the header Store-Era.

Ruled out: versions of the configuration going back. Conditional writes: the daemons make none on the users' platform.

Change: package epoch judges answers by their epoch and holds revisions with it; the adapter reads the header.

The stand-in's store is restored from a copy, an experiment and the soak use it.

--- a/cmd/skylark-agent/platform.go
+++ b/cmd/skylark-agent/platform.go
@@ -5,6 +5,7 @@
 
 	"github.com/phuslu/log"
 
+	"skylarkturn/internal/epoch"
 	"skylarkturn/internal/packetagent"
 	"skylarkturn/platform"
 )
@@ -13,8 +14,10 @@
 // exit code.
 func runOnPlatform(path string) int {
 	return platform.Run("skylark-agent", path, func(s *platform.Settings, l *log.Logger) (platform.Daemon, error) {
-		store := platform.NewStore(s.StoreAddr)
+		epochs := epoch.NewMonitor()
+		store := platform.NewStore(s.StoreAddr, epochs)
 		return packetagent.New(agentSettings(s), packetagent.Platform{
+			Epochs:              epochs,
 			Balancers:           store.BalancerRegistry(),
 			Agents:              store.AgentRegistry(),
 			WriteMetrics:        store.WriteMetrics,
--- a/cmd/skylark-balancer/platform.go
+++ b/cmd/skylark-balancer/platform.go
@@ -5,6 +5,7 @@
 
 	"github.com/phuslu/log"
 
+	"skylarkturn/internal/epoch"
 	"skylarkturn/internal/packetbalancer"
 	"skylarkturn/platform"
 )
@@ -13,9 +14,11 @@
 // the exit code.
 func runOnPlatform(path string) int {
 	return platform.Run("skylark-balancer", path, func(s *platform.Settings, l *log.Logger) (platform.Daemon, error) {
-		store := platform.NewStore(s.StoreAddr)
+		epochs := epoch.NewMonitor()
+		store := platform.NewStore(s.StoreAddr, epochs)
 		return packetbalancer.New(balancerSettings(s), packetbalancer.Platform{
 			Store:            store,
+			Epochs:           epochs,
 			Balancers:        store.BalancerRegistry(),
 			Agents:           store.AgentRegistry(),
 			WriteMetrics:     store.WriteMetrics,
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -60,6 +60,7 @@
 	CheckAgeMillis   uint32           `cbor:"13,keyasint,omitempty"` // milliseconds since the sender's configuration was last known to match the platform's; 0 if unknown
 	CheckNumber      uint64           `cbor:"20,keyasint,omitempty"` // number of the check whose age is CheckAgeMillis
 	MadeCheck        bool             `cbor:"21,keyasint,omitempty"` // whether the sender made that check itself
+	StoreEpoch       uint64           `cbor:"22,keyasint,omitempty"` // newest epoch of the platform's store that the sender knows
 	ConfigVersion    uint64           `cbor:"17,keyasint,omitempty"` // configuration version that the sender has applied
 	Settled          bool             `cbor:"19,keyasint,omitempty"` // whether the sender knows all members
 	KnownIncarnation uint64           `cbor:"18,keyasint,omitempty"` // incarnation of the receiver, as the sender knows it
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -28,6 +28,7 @@
 	Inner  string  `json:"inner"`          // address for traffic between daemons
 	Uptime float64 `json:"uptime_seconds"` // since the daemon started
 
+	StoreEpoch       uint64   `json:"store_epoch,omitempty"`         // newest known epoch of the store
 	ConfigVersion    uint64   `json:"config_version,omitempty"`      // of the applied configuration
 	ConfigAge        float64  `json:"config_age_seconds,omitempty"`  // since it was applied
 	ConfigCheckAge   float64  `json:"checked_ago_seconds,omitempty"` // since any balancer compared it with the store
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -87,7 +87,7 @@
 		return r.fromHost(c)
 	case "suspected":
 		return []string{fmt.Sprint(r.table.HostSuspected(r.now))}
-	case "previous": // previous h1 c1=ACK c2=ACK [start=MS]
+	case "previous": // previous h1 [outdated] c1=ACK c2=ACK [start=MS]
 		return r.setPreviousSnapshot(c)
 	case "snapshot":
 		return r.snapshot()
@@ -101,7 +101,7 @@
 }
 
 func (r *runner) setPreviousSnapshot(c script.Command) []string {
-	s := Snapshot{HostID: c.Arg(0), Flows: make(map[packet.Key]uint32)}
+	s := Snapshot{HostID: c.Arg(0), Flows: make(map[packet.Key]uint32), Outdated: c.HasArg("outdated")}
 	for name := range c.Options {
 		if name == "start" {
 			s.StartTime = int64(c.Int(r.t, name))
--- a/internal/flowtable/snapshot.go
+++ b/internal/flowtable/snapshot.go
@@ -24,6 +24,7 @@
 	HostID    string
 	StartTime int64                 // as in Report
 	Flows     map[packet.Key]uint32 // client's last acknowledgement number by flow
+	Outdated  bool                  // read from a store that has since been restored from a copy, so that a later snapshot may be lost
 }
 
 // Snapshot returns the open flows that are at least minSnapshotAge old, at most
@@ -121,8 +122,14 @@
 }
 
 // resetPreviousFlows resets the flows of the previous snapshot, except for those
-// that are in the table, and discards the snapshot.
+// that are in the table, and discards the snapshot. An outdated snapshot may be of a
+// host before the previous one, so that clients may have reused the addresses of its
+// flows; only a complete table tells.
 func (t *Table) resetPreviousFlows(cause Cause, out []Action) []Action {
+	if t.previous.Outdated && !t.complete {
+		t.previous = Snapshot{}
+		return out
+	}
 	for k, ack := range t.previous.Flows {
 		if t.flows[k] == nil {
 			out = append(out, Action{Op: Reset, Cause: cause, Flow: k, ClientAck: ack})
--- a/internal/membership/agent.go
+++ b/internal/membership/agent.go
@@ -37,6 +37,7 @@
 	startedAt     time.Time
 	lastHeartbeat time.Time // when heartbeats were last sent
 	fleetSize     int       // number of members according to the last Ack
+	storeEpoch    uint64    // newest known epoch of the store; 0 if none is known
 }
 
 // NewAgent returns the state of an agent that starts now and contacts balancers
@@ -58,6 +59,9 @@
 // the first Ack.
 func (a *Agent) FleetSize() int { return a.fleetSize }
 
+// SetStoreEpoch sets the newest epoch of the store, which heartbeats announce.
+func (a *Agent) SetStoreEpoch(e uint64) { a.storeEpoch = max(a.storeEpoch, e) }
+
 // Disconnected reports whether the agent has no observers or has received no Ack
 // for some time.
 func (a *Agent) Disconnected(now time.Time) bool {
@@ -128,7 +132,7 @@
 }
 
 func (a *Agent) newHeartbeat(requestAck bool) *control.Message {
-	m := &control.Message{Kind: control.Heartbeat, From: a.self, WantReply: requestAck}
+	m := &control.Message{Kind: control.Heartbeat, From: a.self, WantReply: requestAck, StoreEpoch: a.storeEpoch}
 	for i := range a.observers {
 		m.Digest ^= roster.AddrHash(a.observers[i].addr)
 	}
--- a/internal/membership/balancer.go
+++ b/internal/membership/balancer.go
@@ -64,7 +64,8 @@
 	missingAgents      map[netip.AddrPort]bool   // registered agents that are not known as members
 	registeredCount    int                       // number of registered agents
 	deregistered       map[netip.AddrPort]uint64 // incarnations of agents removed from the registry, by address
-	registryRead       bool                      // SetRegisteredAgents has been called
+	registryRead       bool                      // SetRegisteredAgents has been called with a complete list
+	storeEpoch         uint64                    // newest known epoch of the store; 0 if none is known
 	settled            bool
 	peers              peerStates
 	lastAgentHeartbeat time.Time // when a heartbeat was last received from any agent
@@ -96,6 +97,16 @@
 // SetConfigVersion sets the configuration version that is announced to peers.
 func (b *Balancer) SetConfigVersion(v uint64) { b.configVersion = v }
 
+// SetStoreEpoch sets the newest epoch of the store, which is announced to other
+// daemons. In a new epoch the registry may again list agents that were removed.
+func (b *Balancer) SetStoreEpoch(e uint64) {
+	if e <= b.storeEpoch {
+		return
+	}
+	b.storeEpoch = e
+	clear(b.deregistered)
+}
+
 // NewestVersion returns the newest configuration version announced by a peer.
 func (b *Balancer) NewestVersion() PeerVersion { return b.newestVersion }
 
@@ -161,6 +172,7 @@
 		CheckAgeMillis: b.checkAgeMillis(now),
 		CheckNumber:    b.lastCheck.number,
 		MadeCheck:      b.lastCheck.local,
+		StoreEpoch:     b.storeEpoch,
 	}
 }
 
--- a/internal/membership/configcheck.go
+++ b/internal/membership/configcheck.go
@@ -44,8 +44,7 @@
 	if b.lastCheck.local || b.Alone() {
 		return b.lastCheck.at.Add(checkInterval)
 	}
-	fraction := float64(uint32(packet.EndpointOf(b.self.Addr).Hash())) / (1 << 32)
-	return b.lastCheck.at.Add(checkTakeoverDelay + time.Duration(fraction*float64(checkTakeoverSpread)))
+	return b.lastCheck.at.Add(checkTakeoverDelay + time.Duration(packet.EndpointOf(b.self.Addr).Place()*float64(checkTakeoverSpread)))
 }
 
 // OldestHeartbeatAge returns the longest time since the last heartbeat of any
--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -93,8 +93,21 @@
 		n.cuts[pair(c.Arg(0), c.Arg(1))] = true
 	case "heal":
 		clear(n.cuts)
-	case "registry": // registry b1 agents=a1,a2
-		n.balancers[c.Arg(0)].SetRegisteredAgents(n.addrs(c.Options["agents"]))
+	case "registry": // registry b1 [incomplete] agents=a1,a2
+		n.balancers[c.Arg(0)].SetRegisteredAgents(n.addrs(c.Options["agents"]), !c.HasArg("incomplete"))
+	case "epoch": // epoch b1|a1 N
+		e, err := strconv.ParseUint(c.Arg(1), 10, 64)
+		qt.Assert(n.t, qt.IsNil(err))
+		if b := n.balancers[c.Arg(0)]; b != nil {
+			b.SetStoreEpoch(e)
+		} else {
+			n.agents[c.Arg(0)].SetStoreEpoch(e)
+		}
+	case "known-epoch": // known-epoch b1|a1: prints the newest epoch that the daemon has heard of
+		if b := n.balancers[c.Arg(0)]; b != nil {
+			return []string{fmt.Sprint(b.storeEpoch)}
+		}
+		return []string{fmt.Sprint(n.agents[c.Arg(0)].storeEpoch)}
 	case "host":
 		n.host(c)
 	case "version":
@@ -230,9 +243,11 @@
 	qt.Assert(n.t, qt.IsNil(err))
 	name := nameOf(o.To)
 	if b := n.balancers[name]; b != nil {
+		b.SetStoreEpoch(m.StoreEpoch)
 		n.send(name, b.Receive(n.now, m))
 	}
 	if a := n.agents[name]; a != nil {
+		a.SetStoreEpoch(m.StoreEpoch)
 		n.send(name, a.Receive(n.now, m))
 	}
 }
--- a/internal/membership/settle.go
+++ b/internal/membership/settle.go
@@ -11,9 +11,10 @@
 )
 
 // SetRegisteredAgents sets the agents listed in the registry. The balancer waits
-// for them before it is settled.
-func (b *Balancer) SetRegisteredAgents(agents []netip.AddrPort) {
-	b.registryRead = true
+// for them before it is settled. If the list is not complete, it proves nothing about
+// other agents.
+func (b *Balancer) SetRegisteredAgents(agents []netip.AddrPort, complete bool) {
+	b.registryRead = complete
 	b.registeredCount = len(agents)
 	b.missingAgents = make(map[netip.AddrPort]bool)
 	for _, a := range agents {
@@ -31,8 +32,8 @@
 //
 // A settled peer with the same digest proves this. After a power loss there is no
 // such peer; then this balancer or another one must have received a heartbeat from
-// every registered agent. Timeouts apply if the registry cannot be read, and to
-// registered agents that ended without deregistering. The timeout for these is
+// every registered agent. Timeouts apply if the registry cannot be read or may be
+// incomplete, and to registered agents that ended without deregistering. The timeout for these is
 // longer if no other balancer is known or most registered agents are missing,
 // because the cause may be a partition.
 func (b *Balancer) Settled(now time.Time) bool {
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -41,6 +41,10 @@
 // Hash returns a hash of the endpoint that is the same in every process.
 func (e Endpoint) Hash() uint64 { return flow.Mix(uint64(e.IP)<<16 | uint64(e.Port)) }
 
+// Place returns a number in [0, 1) that differs between endpoints. Daemons use it to
+// act at different times.
+func (e Endpoint) Place() float64 { return float64(uint32(e.Hash())) / (1 << 32) }
+
 // AddrPort returns the endpoint as a netip.AddrPort.
 func (e Endpoint) AddrPort() netip.AddrPort {
 	return netip.AddrPortFrom(e.Addr(), e.Port)
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -16,6 +16,7 @@
 
 	"skylarkturn/internal/backoff"
 	"skylarkturn/internal/daemon"
+	"skylarkturn/internal/epoch"
 	"skylarkturn/internal/fleet"
 	"skylarkturn/internal/flowtable"
 	"skylarkturn/internal/inner"
@@ -51,6 +52,7 @@
 type Platform struct {
 	Balancers           registry.Store
 	Agents              registry.Store
+	Epochs              *epoch.Monitor // of the store
 	Snapshots           SnapshotStore
 	Codec               packet.Codec
 	ReadinessHandler    func(ready func() bool) http.Handler
@@ -166,6 +168,7 @@
 		func(ctx context.Context) error { return a.innerSocket.Serve(ctx, a) },
 		a.runTicks,
 		a.registerAgent,
+		a.followEpochs,
 		a.discoverBalancers,
 		a.checkHost,
 		a.saveSnapshots,
--- a/internal/packetagent/counters.go
+++ b/internal/packetagent/counters.go
@@ -15,6 +15,7 @@
 	invalidPackets   *metrics.Counter
 	hostSocketErrors *metrics.Counter
 	storeErrors      *metrics.Counter
+	storeRestores    *metrics.Counter
 }
 
 // addGauges registers the gauges that are computed when metrics are scraped.
@@ -24,6 +25,7 @@
 	gauge(`skylark_flows_busy`, func() float64 { return float64(a.flows.Busy()) })
 	gauge(`skylark_flows_evicted`, func() float64 { return float64(a.flows.Evictions()) })
 	gauge(`skylark_host_heartbeat_age_seconds`, func() float64 { return a.flows.ReportAge(time.Now()).Seconds() })
+	gauge(`skylark_store_epoch`, func() float64 { return float64(a.storeEpoch()) })
 	gauge(`skylark_observers`, func() float64 { return float64(a.members.ObserverCount()) })
 	a.metrics.NewGauge(`skylark_log_lines_dropped`, func() float64 { return float64(a.flowLogLimit.Dropped()) })
 }
@@ -33,6 +35,7 @@
 		invalidPackets:   set.NewCounter(`skylark_packets_forged_total`),
 		hostSocketErrors: set.NewCounter(`skylark_host_socket_errors_total`),
 		storeErrors:      set.NewCounter(`skylark_store_errors_total`),
+		storeRestores:    set.NewCounter(`skylark_store_restores_total`),
 	}
 	for op := flowtable.ToHost; op <= flowtable.Drop; op++ {
 		for cause := range c.actions[op] {
--- a/internal/packetagent/forward.go
+++ b/internal/packetagent/forward.go
@@ -148,6 +148,7 @@
 
 // HandleMessage handles a balancer's answer to a heartbeat.
 func (a *Agent) HandleMessage(m *control.Message) {
+	a.platform.Epochs.Observe(m.StoreEpoch) // an older epoch than the known one is ignored
 	a.mu.Lock()
 	out := a.members.Receive(time.Now(), m)
 	a.mu.Unlock()
--- a/internal/packetagent/snapshot.go
+++ b/internal/packetagent/snapshot.go
@@ -42,9 +42,17 @@
 		saved   flowtable.Snapshot
 		savedAt time.Time
 	)
+	_, advanced := a.platform.Epochs.Newest()
 	for ctx.Err() == nil {
 		interval := a.snapshotInterval()
-		backoff.Sleep(ctx, interval/checksPerSnapshotInterval)
+		select {
+		case <-advanced: // the saved snapshot may be lost
+			backoff.Sleep(ctx, a.rewriteDelay())
+			saved, savedAt = flowtable.Snapshot{}, time.Time{}
+			_, advanced = a.platform.Epochs.Newest()
+		case <-ctx.Done():
+		case <-time.After(interval / checksPerSnapshotInterval):
+		}
 		now := time.Now()
 		a.mu.Lock()
 		s := a.flows.Snapshot(now)
--- a/internal/packetagent/status.go
+++ b/internal/packetagent/status.go
@@ -16,7 +16,7 @@
 	s := fleet.Status{
 		Name: a.settings.Name, Role: fleet.RoleAgent, Zone: a.settings.Zone, Inner: a.innerSocket.Addr().String(), Uptime: now.Sub(a.started).Seconds(),
 		Host: host.ID, Service: host.Service, HostState: "none", HeartbeatAge: a.flows.ReportAge(now).Seconds(), Slots: host.Slots,
-		Busy: a.flows.Busy(), FlowsComplete: a.flows.Complete(), Observers: a.members.ObserverCount(), Flows: a.flows.Flows(),
+		Busy: a.flows.Busy(), FlowsComplete: a.flows.Complete(), Observers: a.members.ObserverCount(), StoreEpoch: a.storeEpoch(), Flows: a.flows.Flows(),
 	}
 	if registered {
 		s.HostState = hostStateNames[host.State]
--- a/internal/packetbalancer/balancer.go
+++ b/internal/packetbalancer/balancer.go
@@ -17,6 +17,7 @@
 
 	"skylarkturn/internal/backoff"
 	"skylarkturn/internal/daemon"
+	"skylarkturn/internal/epoch"
 	"skylarkturn/internal/inner"
 	"skylarkturn/internal/membership"
 	"skylarkturn/internal/ops"
@@ -60,16 +61,18 @@
 }
 
 // Store reads the operator's configuration. Config returns the current one;
-// AwaitConfig waits for a revision after since and reports !ok if none came.
+// AwaitConfig waits for a revision after since and reports !ok if none came. It fails
+// with kind platform.KindRestored if since is of an earlier epoch than the answer.
 type Store interface {
-	Config(ctx context.Context) (cfg route.Config, revision uint64, ok bool, err error)
-	AwaitConfig(ctx context.Context, since uint64, wait time.Duration) (cfg route.Config, revision uint64, ok bool, err error)
+	Config(ctx context.Context) (cfg route.Config, at epoch.Position, ok bool, err error)
+	AwaitConfig(ctx context.Context, since epoch.Position, wait time.Duration) (cfg route.Config, at epoch.Position, ok bool, err error)
 }
 
 // Platform holds the balancer's connections to the platform: stores, packet codec
 // and HTTP handlers.
 type Platform struct {
 	Store            Store
+	Epochs           *epoch.Monitor // of the store
 	Balancers        registry.Store
 	Agents           registry.Store
 	Codec            packet.Codec
@@ -218,7 +221,9 @@
 		b.watchStore,
 		b.checkStore,
 		b.syncWithPeers,
-		b.registerAndDiscover,
+		b.register,
+		b.discover,
+		b.followEpochs,
 		b.loadRegisteredAgents,
 		b.deregisterAgents,
 		b.servers.Serve,
--- a/internal/packetbalancer/config.go
+++ b/internal/packetbalancer/config.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"skylarkturn/internal/backoff"
+	"skylarkturn/internal/epoch"
 	"skylarkturn/internal/fleet"
 	"skylarkturn/internal/ops"
 	"skylarkturn/internal/platform"
@@ -57,26 +58,26 @@
 
 // watchStore watches the configuration in the store and applies each new version.
 func (b *Balancer) watchStore(ctx context.Context) error {
-	var revision uint64
+	var at epoch.Position
 	retry := backoff.Exponential{Min: minRetryDelay, Max: maxRetryDelay}
 	for ctx.Err() == nil {
-		watch, cancel := context.WithCancel(ctx)
+		watch, cancel := b.platform.Epochs.Bind(ctx)
 		b.mu.Lock()
 		b.cancelWatch = cancel
 		b.mu.Unlock()
-		next, err := b.syncFromStore(watch, revision, watchTimeout)
+		next, err := b.syncFromStore(watch, at, watchTimeout)
 		ended := watch.Err() != nil
 		cancel()
 		if err == nil {
 			if b.storeUnavailable.Swap(false) {
 				b.log.Info().Str("event", "store_regained").Msg("")
 			}
-			revision = next
+			at = next
 			retry.Reset()
 			continue
 		}
-		revision = 0 // reads the current state anew: a broken watch may have missed changes
-		if platform.IsKind(err, platform.KindCompacted) || ended {
+		at = epoch.Position{} // reads the current state anew: a broken watch may have missed changes
+		if isPositionLost(err) || ended {
 			continue
 		}
 		b.counters.storeErrors.Inc()
@@ -88,10 +89,16 @@
 	return nil
 }
 
+// isPositionLost reports whether a watch failed because its position is not in the
+// store's history.
+func isPositionLost(err error) bool {
+	return platform.IsKind(err, platform.KindCompacted) || platform.IsKind(err, platform.KindRestored)
+}
+
 // checkStore compares the configuration with the store whenever a check by this
 // balancer is due, since a watch can stop delivering changes without an error.
 func (b *Balancer) checkStore(ctx context.Context) error {
-	var revision uint64
+	var at epoch.Position
 	unavailable := false
 	retry := backoff.Exponential{Min: minRetryDelay, Max: maxRetryDelay}
 	for ctx.Err() == nil {
@@ -105,8 +112,8 @@
 			backoff.Sleep(ctx, due)
 			continue
 		}
-		next, err := b.checkOnce(ctx, revision)
-		revision = next
+		next, err := b.checkOnce(ctx, at)
+		at = next
 		switch {
 		case err == nil:
 			if unavailable {
@@ -114,7 +121,7 @@
 			}
 			unavailable = false
 			retry.Reset()
-		case platform.IsKind(err, platform.KindCompacted) || ctx.Err() != nil:
+		case isPositionLost(err) || ctx.Err() != nil:
 		default:
 			b.counters.storeErrors.Inc()
 			if !unavailable {
@@ -130,7 +137,7 @@
 // checkOnce compares the configuration with the store once. If the store has a
 // version that the watch has missed, checkOnce cancels the watch, so that
 // watchStore starts a new one.
-func (b *Balancer) checkOnce(ctx context.Context, since uint64) (uint64, error) {
+func (b *Balancer) checkOnce(ctx context.Context, since epoch.Position) (epoch.Position, error) {
 	before := b.configVersion.Load()
 	next, err := b.syncFromStore(ctx, since, checkTimeout)
 	if err == nil && b.configVersion.Load() > before {
@@ -143,31 +150,34 @@
 
 // syncFromStore reads the current configuration if since is zero, otherwise waits
 // up to timeout for a revision after since, and applies the configuration
-// received. It returns the revision to continue from.
-func (b *Balancer) syncFromStore(ctx context.Context, since uint64, timeout time.Duration) (uint64, error) {
+// received. It returns the position to continue from.
+func (b *Balancer) syncFromStore(ctx context.Context, since epoch.Position, timeout time.Duration) (epoch.Position, error) {
 	var (
-		cfg      route.Config
-		revision uint64
-		ok       bool
-		err      error
+		cfg route.Config
+		at  epoch.Position
+		ok  bool
+		err error
 	)
-	if since == 0 {
-		cfg, revision, ok, err = b.platform.Store.Config(ctx)
+	if since.Revision == 0 {
+		cfg, at, ok, err = b.platform.Store.Config(ctx)
 	} else {
-		cfg, revision, ok, err = b.platform.Store.AwaitConfig(ctx, since, timeout)
+		cfg, at, ok, err = b.platform.Store.AwaitConfig(ctx, since, timeout)
 	}
 	if err != nil {
-		return 0, err
+		return epoch.Position{}, err
 	}
 	if ok {
 		err = b.applyConfig(cfg, "store")
 	}
-	if err == nil && (ok || since == 0 || timeout == checkTimeout) {
+	b.mu.Lock()
+	b.members.SetStoreEpoch(at.Epoch)
+	b.mu.Unlock()
+	if err == nil && (ok || since.Revision == 0 || timeout == checkTimeout) {
 		b.mu.Lock()
 		b.members.RecordConfirmation(time.Now(), timeout == checkTimeout) // a long watch without events confirms nothing, because it may be broken
 		b.mu.Unlock()
 	}
-	return revision, err
+	return at, err
 }
 
 // syncWithPeers fetches configurations from peers that report a newer version
--- a/internal/packetbalancer/counters.go
+++ b/internal/packetbalancer/counters.go
@@ -18,6 +18,7 @@
 	invalidPackets     *metrics.Counter
 	clientSocketErrors *metrics.Counter
 	storeErrors        *metrics.Counter
+	storeRestores      *metrics.Counter
 	fetchErrors        *metrics.Counter
 	lookupSeconds      *metrics.Histogram // seconds from the first query about a flow to its owner's answer
 
@@ -54,6 +55,7 @@
 func (b *Balancer) addGauges() {
 	gauge := ops.LockedGauges(b.metrics, &b.mu)
 	gauge(`skylark_config_version`, func() float64 { return float64(b.steering.Routes().Version()) })
+	gauge(`skylark_store_epoch`, func() float64 { return float64(b.storeEpoch()) })
 	gauge(`skylark_config_age_seconds`, func() float64 { return time.Since(b.configAppliedAt).Seconds() })
 	gauge(`skylark_targets`, func() float64 { return float64(b.steering.TargetCount()) })
 	gauge(`skylark_flows_remembered`, func() float64 { return float64(b.steering.FlowCount()) })
@@ -84,6 +86,7 @@
 		invalidPackets:     set.NewCounter(`skylark_packets_forged_total`),
 		clientSocketErrors: set.NewCounter(`skylark_client_socket_errors_total`),
 		storeErrors:        set.NewCounter(`skylark_store_errors_total`),
+		storeRestores:      set.NewCounter(`skylark_store_restores_total`),
 		fetchErrors:        set.NewCounter(`skylark_config_fetch_errors_total`),
 	}
 	for op := steering.Send; op <= steering.Drop; op++ {
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -161,6 +161,7 @@
 // HandleMessage handles a control message.
 func (b *Balancer) HandleMessage(m *control.Message) {
 	now := time.Now()
+	b.platform.Epochs.Observe(m.StoreEpoch) // an older epoch than the known one is ignored
 	b.mu.Lock()
 	out := b.members.Receive(now, m)
 	if m.Kind == control.Heartbeat {
--- a/internal/packetbalancer/status.go
+++ b/internal/packetbalancer/status.go
@@ -14,7 +14,7 @@
 	defer b.mu.Unlock()
 	s := fleet.Status{
 		Name: b.settings.Name, Role: fleet.RoleBalancer, Zone: b.settings.Zone, Inner: b.innerSocket.Addr().String(), Uptime: now.Sub(b.started).Seconds(),
-		ConfigVersion: b.steering.Routes().Version(), StoreUnavailable: b.storeUnavailable.Load(), Settled: b.settled, Isolated: b.isolated, Stopping: b.stopping.Load(),
+		StoreEpoch: b.storeEpoch(), ConfigVersion: b.steering.Routes().Version(), StoreUnavailable: b.storeUnavailable.Load(), Settled: b.settled, Isolated: b.isolated, Stopping: b.stopping.Load(),
 		Targets: b.steering.TargetCount(), PendingFlows: b.steering.PendingCount(), Flows: b.steering.FlowCount(),
 	}
 	if !b.configAppliedAt.IsZero() {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -24,6 +24,7 @@
 	KindNotFound    Kind = "not_found"
 	KindConflict    Kind = "conflict"    // the precondition of a conditional update failed
 	KindCompacted   Kind = "compacted"   // the history that a watch starts from has been compacted
+	KindRestored    Kind = "restored"    // the platform was restored from an older copy during or before the call
 	KindThrottled   Kind = "throttled"   // rate limit exceeded, see Error.RetryAfter
 	KindUnavailable Kind = "unavailable" // no answer, or one that leaves open whether the call took effect
 	KindRefused     Kind = "refused"     // the request is invalid and had no effect
@@ -94,7 +95,7 @@
 	Timeout time.Duration // for the call, including reading the answer
 }
 
-// Response is the answer to a successful call.
+// Response is the answer to a call. Body is set only if the call succeeded.
 type Response struct {
 	Header http.Header
 	Body   []byte
@@ -166,7 +167,8 @@
 	return resp.Body, resp.Header.Get("ETag"), nil
 }
 
-// Do executes a call. Its errors are of type *Error.
+// Do executes a call. Its errors are of type *Error. The response has a header
+// whenever the platform answered, also with an error.
 func (c *HTTPClient) Do(ctx context.Context, r Request) (Response, error) {
 	op := strings.ToLower(r.Method)
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
@@ -189,7 +191,7 @@
 		return Response{}, &Error{Op: op, Kind: KindUnavailable, Err: err}
 	}
 	if err := checkStatus(op, resp, answer); err != nil {
-		return Response{}, err
+		return Response{Header: resp.Header}, err
 	}
 	return Response{resp.Header, answer}, nil
 }
--- a/internal/platformstand/experiment.go
+++ b/internal/platformstand/experiment.go
@@ -66,7 +66,11 @@
 	standin.ActionPlatformSlow:   func(x *experimentRun, _ *standin.Event) error { x.site.Store.SetOutage(Slow); return nil },
 	standin.ActionLoseAnswers:    func(x *experimentRun, _ *standin.Event) error { x.site.Store.SetOutage(LoseResponses); return nil },
 	standin.ActionCompact:        func(x *experimentRun, _ *standin.Event) error { x.site.Store.Compact(); return nil },
-	standin.ActionFaults:         func(x *experimentRun, ev *standin.Event) error { x.site.SetLoss(ev.Loss); return nil },
+	standin.ActionRestoreStore: func(x *experimentRun, ev *standin.Event) error {
+		x.site.Store.Restore(time.Duration(ev.Delay))
+		return nil
+	},
+	standin.ActionFaults: func(x *experimentRun, ev *standin.Event) error { x.site.SetLoss(ev.Loss); return nil },
 }
 
 // CheckExperiment returns an error for the first value that the simulated platform
--- a/internal/platformstand/soak.go
+++ b/internal/platformstand/soak.go
@@ -163,7 +163,7 @@
 func (k *soakRun) injectFaults(ctx context.Context, end time.Time) {
 	faults := []func(){
 		k.killDaemons, k.killDaemons, k.killAll, k.freeze, k.rollBalancers, k.reloadAll, k.crashHost, k.replaceHost, k.replaceHost,
-		k.failStore, k.failStore, k.faultStoreConns, k.faultStoreConns, k.compact, k.configure, k.configure, k.configure, k.loseClientPackets, k.addBalancer,
+		k.failStore, k.failStore, k.faultStoreConns, k.faultStoreConns, k.compact, k.restoreStore, k.restoreStore, k.configure, k.configure, k.configure, k.loseClientPackets, k.addBalancer,
 	}
 	for ctx.Err() == nil && time.Now().Before(end) {
 		faults[k.rand.IntN(len(faults))]()
@@ -320,6 +320,19 @@
 	k.site.Store.Compact()
 }
 
+// restoreStore takes the store away for a moment and restores it from a copy.
+func (k *soakRun) restoreStore() {
+	age := k.randomDelay(6 * time.Second)
+	away := k.randomDelay(time.Second)
+	k.logf("store is away for %v and comes back from a copy %v old", away, age)
+	k.site.Store.SetOutage(Reset)
+	k.wg.Go(func() {
+		time.Sleep(away)
+		k.site.Store.Restore(age + away)
+		k.site.Store.SetOutage(Healthy)
+	})
+}
+
 // configure swaps the services of the two active routes, or adds or removes a route
 // without traffic.
 func (k *soakRun) configure() {
--- a/internal/platformstand/store.go
+++ b/internal/platformstand/store.go
@@ -23,7 +23,10 @@
 	LoseResponses        // applies writes and resets the connection in place of responding
 )
 
-const slowResponseDelay = 300 * time.Millisecond
+const (
+	slowResponseDelay = 300 * time.Millisecond // half of it before the call takes effect, half of it after
+	epochHeader       = "Store-Era"
+)
 
 // meta is the name and revision of an object.
 type meta struct {
@@ -45,13 +48,22 @@
 	kind string
 }
 
+// change is a write as Restore needs it.
+type change struct {
+	event
+	at         time.Time
+	byOperator bool // written again after a restore
+}
+
 // Store simulates the platform's object store.
 type Store struct {
 	mu           sync.Mutex
 	changed      chan struct{}     // closed and replaced at each change or compaction
 	objects      map[string]object // by KIND/NAME
 	history      []event
-	compactedRev uint64 // oldest revision that a watch may start from
+	changes      []change // all changes since the start
+	epoch        uint64   // rises with each Restore
+	compactedRev uint64   // oldest revision that a watch may start from
 	revision     uint64
 	outage       Outage
 	calls        int
@@ -60,7 +72,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{changed: make(chan struct{}), objects: make(map[string]object), revision: 1, closed: make(chan struct{})}
+	return &Store{changed: make(chan struct{}), objects: make(map[string]object), revision: 1, epoch: 1, closed: make(chan struct{})}
 }
 
 // Close ends the calls that Unresponsive keeps waiting.
@@ -90,10 +102,61 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(kind, name, b)
+	s.put(kind, name, b, true)
 	return nil
 }
 
+// Restore replaces the content by a copy of the given age. Revisions go on from that of
+// the copy, the epoch rises by one, and what the operator has written since is written
+// again.
+func (s *Store) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restore(time.Now().Add(-age))
+	s.notifyWatchers()
+}
+
+// restore implements Restore from the copy made at a time; called with mu held.
+func (s *Store) restore(copied time.Time) {
+	n := slices.IndexFunc(s.changes, func(c change) bool { return c.at.After(copied) })
+	if n < 0 {
+		n = len(s.changes)
+	}
+	lost := slices.Clone(s.changes[n:])
+	s.changes = s.changes[:n]
+	s.objects, s.history, s.revision = make(map[string]object), nil, 1
+	for _, c := range s.changes {
+		s.apply(c.event)
+	}
+	s.compactedRev = min(s.compactedRev, s.revision)
+	s.epoch++
+	for _, c := range lost {
+		if c.byOperator {
+			s.put(c.kind, c.Object.Meta.Name, c.Object.Spec, true)
+		}
+	}
+}
+
+// apply applies a change to objects, history and revision; called with mu held.
+func (s *Store) apply(e event) {
+	key := e.kind + "/" + e.Object.Meta.Name
+	s.objects[key] = e.Object
+	if e.Deleted {
+		delete(s.objects, key)
+	}
+	s.revision = e.Object.Meta.Revision
+	s.history = append(s.history, e)
+}
+
+// record applies a change at a new revision and wakes the watches; called with mu held.
+func (s *Store) record(e event, byOperator bool) object {
+	e.Object.Meta.Revision = s.revision + 1
+	s.apply(e)
+	s.changes = append(s.changes, change{e, time.Now(), byOperator})
+	s.notifyWatchers()
+	return e.Object
+}
+
 // Calls returns the number of calls received.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -108,13 +171,8 @@
 }
 
 // put writes an object at a new revision; called with mu held.
-func (s *Store) put(kind, name string, spec json.RawMessage) object {
-	s.revision++
-	o := object{meta{name, s.revision}, spec}
-	s.objects[kind+"/"+name] = o
-	s.history = append(s.history, event{o, false, kind})
-	s.notifyWatchers()
-	return o
+func (s *Store) put(kind, name string, spec json.RawMessage, byOperator bool) object {
+	return s.record(event{object{meta{Name: name}, spec}, false, kind}, byOperator)
 }
 
 // ServeHTTP serves the calls of the daemons.
@@ -122,6 +180,7 @@
 	s.mu.Lock()
 	s.calls++
 	outage := s.outage
+	w.Header().Set(epochHeader, strconv.FormatUint(s.epoch, 10))
 	s.mu.Unlock()
 	switch outage {
 	case Unavailable:
@@ -136,9 +195,13 @@
 	case Reset:
 		panic(http.ErrAbortHandler)
 	case Slow:
-		time.Sleep(slowResponseDelay)
+		time.Sleep(slowResponseDelay / 2)
+	}
+	status, response, epoch := s.call(r)
+	w.Header().Set(epochHeader, strconv.FormatUint(epoch, 10))
+	if outage == Slow {
+		time.Sleep(slowResponseDelay / 2)
 	}
-	status, response := s.call(r)
 	if outage == LoseResponses && r.Method != http.MethodGet {
 		panic(http.ErrAbortHandler)
 	}
@@ -147,20 +210,17 @@
 	_ = json.NewEncoder(w).Encode(response) // the caller may have gone
 }
 
-// call serves a call without faults and returns its status and response.
-func (s *Store) call(r *http.Request) (int, any) {
-	path, ok := strings.CutPrefix(r.URL.Path, "/-/objects/")
-	if !ok {
-		return http.StatusNotFound, nil
-	}
-	kind, name, named := strings.Cut(path, "/")
+// call serves a call without faults and returns its status, its response and the epoch
+// in which it took effect.
+func (s *Store) call(r *http.Request) (status int, response any, epoch uint64) {
+	kind, name, named := strings.Cut(strings.TrimPrefix(r.URL.Path, "/-/objects/"), "/")
 	if r.Method == http.MethodGet && !named {
 		return s.list(r, kind)
 	}
 	var body object
 	if r.Method != http.MethodGet && r.Method != http.MethodDelete {
 		if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
-			return http.StatusBadRequest, nil
+			return http.StatusBadRequest, nil, 0
 		}
 	}
 	if !named {
@@ -168,24 +228,27 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	status, response = s.callObject(r.Method, kind, name, &body)
+	return status, response, s.epoch
+}
+
+// callObject serves a call for one object; called with mu held.
+func (s *Store) callObject(method, kind, name string, body *object) (status int, response any) {
 	old, exists := s.objects[kind+"/"+name]
 	switch {
-	case r.Method == http.MethodPost && exists:
+	case method == http.MethodPost && exists:
 		return http.StatusConflict, old
-	case r.Method != http.MethodPost && !exists:
+	case method != http.MethodPost && !exists:
 		return http.StatusNotFound, nil
-	case r.Method == http.MethodGet:
+	case method == http.MethodGet:
 		return http.StatusOK, old
 	case body.Meta.Revision != 0 && body.Meta.Revision != old.Meta.Revision:
 		return http.StatusConflict, old
-	case r.Method == http.MethodDelete:
-		s.revision++
-		delete(s.objects, kind+"/"+name)
-		s.history = append(s.history, event{old, true, kind})
-		s.notifyWatchers()
+	case method == http.MethodDelete:
+		s.record(event{old, true, kind}, false)
 		return http.StatusOK, nil
 	}
-	return http.StatusOK, s.put(kind, name, body.Spec)
+	return http.StatusOK, s.put(kind, name, body.Spec, false)
 }
 
 // listResponse is the response to a list or watch.
@@ -197,7 +260,7 @@
 }
 
 // list returns the objects of a kind, sorted by name.
-func (s *Store) list(r *http.Request, kind string) (int, any) {
+func (s *Store) list(r *http.Request, kind string) (status int, response any, epoch uint64) {
 	q := r.URL.Query()
 	if q.Has("watch") {
 		return s.watch(r, kind)
@@ -211,21 +274,23 @@
 		}
 	}
 	slices.SortFunc(l.Items, func(a, b object) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
-	return http.StatusOK, l
+	return http.StatusOK, l, s.epoch
 }
 
 // watch returns the events of a kind after a revision, and waits for one if there are
-// none.
-func (s *Store) watch(r *http.Request, kind string) (int, any) {
+// none. It fails with status 410 (gone) if the store does not have the revision, be it
+// too old or not given out yet.
+func (s *Store) watch(r *http.Request, kind string) (status int, response any, epoch uint64) {
 	since, err1 := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
 	wait, err2 := strconv.Atoi(r.URL.Query().Get("wait-ms"))
 	if err1 != nil || err2 != nil {
-		return http.StatusBadRequest, nil
+		return http.StatusBadRequest, nil, 0
 	}
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		l, gone, changed := listResponse{Revision: s.revision}, since < s.compactedRev, s.changed
+		l, gone, changed := listResponse{Revision: s.revision}, since < s.compactedRev || since > s.revision, s.changed
+		epoch = s.epoch
 		for _, e := range s.history {
 			if e.kind == kind && e.Object.Meta.Revision > since {
 				l.Events = append(l.Events, e)
@@ -233,17 +298,17 @@
 		}
 		s.mu.Unlock()
 		if gone {
-			return http.StatusGone, nil
+			return http.StatusGone, nil, epoch
 		}
 		if len(l.Events) > 0 {
-			return http.StatusOK, l
+			return http.StatusOK, l, epoch
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return http.StatusOK, l
+			return http.StatusOK, l, epoch
 		case <-r.Context().Done():
-			return http.StatusOK, l
+			return http.StatusOK, l, epoch
 		}
 	}
 }
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"skylarkturn/internal/backoff"
+	"skylarkturn/internal/epoch"
 	"skylarkturn/internal/platform"
 )
 
@@ -19,9 +20,14 @@
 	// Forget removes the record of a daemon. The error for a missing record is of
 	// kind platform.KindNotFound.
 	Forget(ctx context.Context, name string) error
-	// List returns the recorded addresses by name. If stale is set they may be some
-	// seconds old.
-	List(ctx context.Context, stale bool) (map[string]netip.AddrPort, error)
+	// List returns the records by name. If stale is set they may be some seconds old.
+	List(ctx context.Context, stale bool) (map[string]Entry, error)
+}
+
+// Entry is the record of a daemon.
+type Entry struct {
+	Addr     netip.AddrPort // inner address
+	Outdated bool           // written in an earlier epoch of the store than the one that it was read in
 }
 
 const (
@@ -44,21 +50,35 @@
 	return &Registry{role, store, l, errors}
 }
 
-// Register records the address of a daemon. It retries until it succeeds or ctx is
-// done.
-func (r *Registry) Register(ctx context.Context, name string, inner netip.AddrPort) {
-	r.retry(ctx, "register", func() error { return r.store.Register(ctx, name, inner) })
+// KeepRegistered records the address of a daemon, and records it again in each new
+// epoch of the store after the time that delay returns. It runs until ctx is done.
+func (r *Registry) KeepRegistered(ctx context.Context, name string, inner netip.AddrPort, epochs *epoch.Monitor, delay func() time.Duration) {
+	for ctx.Err() == nil {
+		_, advanced := epochs.Newest()
+		r.retry(ctx, "register", func() error { return r.store.Register(ctx, name, inner) })
+		select {
+		case <-ctx.Done():
+		case <-advanced:
+			backoff.Sleep(ctx, delay())
+		}
+	}
 }
 
 // List returns the addresses of the daemons. It retries until it succeeds or ctx is
-// done; the result is valid only if ctx is not done.
-func (r *Registry) List(ctx context.Context) (addrs []netip.AddrPort) {
-	r.retry(ctx, "list", func() error {
-		found, err := r.store.List(ctx, false)
-		addrs = addresses(found)
+// done; the result is valid only if ctx is not done. complete is false if records may
+// be missing, because the store was restored from a copy and not all daemons have
+// written theirs again.
+func (r *Registry) List(ctx context.Context) (addrs []netip.AddrPort, complete bool) {
+	var found map[string]Entry
+	r.retry(ctx, "list", func() (err error) {
+		found, err = r.store.List(ctx, false)
 		return err
 	})
-	return addrs
+	complete = true
+	for _, e := range found {
+		complete = complete && !e.Outdated
+	}
+	return addresses(found), complete
 }
 
 // ListStale returns the addresses of the daemons, which may be some seconds old. It
@@ -124,10 +144,10 @@
 	r.log.Warn().Str("event", "store_call").Str("op", op).Str("role", r.role).Err(err).Msg("")
 }
 
-func addresses(found map[string]netip.AddrPort) []netip.AddrPort {
+func addresses(found map[string]Entry) []netip.AddrPort {
 	addrs := make([]netip.AddrPort, 0, len(found))
-	for _, a := range found {
-		addrs = append(addrs, a)
+	for _, e := range found {
+		addrs = append(addrs, e.Addr)
 	}
 	return addrs
 }
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -12,6 +12,7 @@
 	"github.com/go-quicktest/qt"
 	"github.com/phuslu/log"
 
+	"skylarkturn/internal/epoch"
 	"skylarkturn/internal/platform"
 )
 
@@ -20,6 +21,7 @@
 	failures int
 	calls    int
 	err      error
+	outdated bool // the list has an entry of an earlier epoch
 }
 
 func (s *failingStore) call() error {
@@ -32,8 +34,8 @@
 
 func (s *failingStore) Register(context.Context, string, netip.AddrPort) error { return s.call() }
 func (s *failingStore) Forget(context.Context, string) error                   { return s.call() }
-func (s *failingStore) List(context.Context, bool) (map[string]netip.AddrPort, error) {
-	return map[string]netip.AddrPort{"agent-1": netip.MustParseAddrPort("10.0.0.1:7400")}, s.call()
+func (s *failingStore) List(context.Context, bool) (map[string]Entry, error) {
+	return map[string]Entry{"agent-1": {Addr: netip.MustParseAddrPort("10.0.0.1:7400"), Outdated: s.outdated}}, s.call()
 }
 
 func newRegistry(s Store) (*Registry, *metrics.Counter) {
@@ -45,12 +47,56 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &failingStore{failures: 4, err: errors.New("store is down")}
 		r, errorCount := newRegistry(s)
-		r.Register(t.Context(), "agent-1", netip.MustParseAddrPort("10.0.0.1:7400"))
+		keepRegistered(t, r, epoch.NewMonitor())
+		time.Sleep(time.Minute)
 		qt.Check(t, qt.Equals(s.calls, 5))
 		qt.Check(t, qt.Equals(errorCount.Get(), 4))
 	})
 }
 
+const rewriteDelay = 700 * time.Millisecond
+
+// keepRegistered starts KeepRegistered until the end of the test.
+func keepRegistered(t *testing.T, r *Registry, epochs *epoch.Monitor) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.KeepRegistered(ctx, "agent-1", netip.MustParseAddrPort("10.0.0.1:7400"), epochs, func() time.Duration { return rewriteDelay })
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+}
+
+func TestRestoredStoreGetsRegistrationAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &failingStore{}
+		r, _ := newRegistry(s)
+		epochs := epoch.NewMonitor()
+		epochs.Observe(4)
+		keepRegistered(t, r, epochs)
+		time.Sleep(time.Minute)
+		qt.Check(t, qt.Equals(s.calls, 1))
+		epochs.Observe(5)
+		time.Sleep(rewriteDelay - time.Millisecond)
+		qt.Check(t, qt.Equals(s.calls, 1))
+		time.Sleep(time.Minute)
+		qt.Check(t, qt.Equals(s.calls, 2))
+	})
+}
+
+func TestRestoredRegistryIsIncomplete(t *testing.T) {
+	s := &failingStore{}
+	r, _ := newRegistry(s)
+	_, complete := r.List(t.Context())
+	qt.Check(t, qt.IsTrue(complete))
+	s.outdated = true
+	_, complete = r.List(t.Context())
+	qt.Check(t, qt.IsFalse(complete))
+}
+
 func TestListReturnsWhenContextIsDone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &failingStore{failures: 1 << 30, err: errors.New("store is down")}
--- a/internal/standin/experiment.go
+++ b/internal/standin/experiment.go
@@ -89,6 +89,7 @@
 	ActionKillAll        = "kill_all"      // users' platform only: kills all daemons and restarts them after Delay
 	ActionPowerLoss      = "power_loss"    // users' platform only: as kill_all, hosts included
 	ActionCompact        = "compact"       // users' platform only: the store discards its history
+	ActionRestoreStore   = "restore_store" // users' platform only: the store comes back from a copy of the age Delay
 )
 
 var siteActions = []string{
@@ -98,7 +99,7 @@
 }
 
 // Actions that only experiments on the users' platform have.
-var platformActions = []string{ActionCrashHost, ActionKillAll, ActionPowerLoss, ActionCompact}
+var platformActions = []string{ActionCrashHost, ActionKillAll, ActionPowerLoss, ActionCompact, ActionRestoreStore}
 
 const (
 	maxProcesses = 200
