--- a/cmd/skylarkctl/fleet.go
+++ b/cmd/skylarkctl/fleet.go
@@ -193,13 +193,21 @@
 		fmt.Println("no daemon remembers a decision about the flow; search the logs for it")
 		return nil
 	}
-	return printTable("TIME\tDAEMON\tOUTCOME\tCAUSE\tPEER\tCONFIGURATION", func(w io.Writer) {
+	return printTable("TIME\tDAEMON\tOUTCOME\tCAUSE\tPEER\tCONFIGURATION\tLOAD", func(w io.Writer) {
 		for _, d := range decisions {
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\n", d.At.Format("15:04:05.000"), d.Daemon, d.Outcome, d.Cause, d.Peer, d.Version)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\n", d.At.Format("15:04:05.000"), d.Daemon, d.Outcome, d.Cause, d.Peer, d.Version, formatLoad(d.Load))
 		}
 	})
 }
 
+// formatLoad returns the load that a decision rests on as text.
+func formatLoad(l *fleet.Load) string {
+	if l == nil {
+		return "-"
+	}
+	return fmt.Sprintf("%d in progress, %d held, wait %.0f of %.0f ms", l.InProgress, l.Held, l.WaitMS, l.ObjectiveMS)
+}
+
 type fleetTargetCmd struct {
 	Target string `arg:"" help:"Name or inner address of the target's agent."`
 }
--- /dev/null
+++ b/internal/admission/main_test.go
@@ -0,0 +1,14 @@
+package admission
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+
+	"skylarkturn/internal/script"
+)
+
+func TestMain(m *testing.M) {
+	script.FixPropertyTests()
+	goleak.VerifyTestMain(m)
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -1,180 +1,272 @@
-package request
+package admission
 
 import (
 	"slices"
 	"time"
 )
 
-// Ticket identifies a request in an AdmissionQueue; the caller of Admit chooses it.
+// Ticket identifies a request in a Queue; the caller chooses it.
 type Ticket uint64
 
-// AdmissionRequest describes a request that needs a slot.
-type AdmissionRequest struct {
-	Ticket   Ticket
-	Session  uint64        // slots are shared fairly between sessions
-	Priority int           // higher values start first
-	Deadline time.Duration // on the agent's clock, since its start
+// Request describes a request that needs a slot. Times are on the caller's clock.
+type Request struct {
+	Ticket    Ticket
+	Session   uint64        // requests of one priority share the slots fairly between sessions
+	Class     uint64        // requests of one class take similar time
+	Priority  int           // higher values start first
+	Objective time.Duration // response time aimed at; 0 for none
+	Deadline  time.Duration // a later response is useless
+	StartBy   time.Duration // when the request is overdue, see Queue.StartOverdue; 0 for never
 }
 
-// Decision is the result of AdmissionQueue.Admit.
+// Decision is the result of Queue.Admit and Queue.Enqueue.
 type Decision uint8
 
-// Decisions returned by AdmissionQueue.Admit.
+// Decisions on a request.
 const (
 	Start  Decision = iota + 1 // a slot is occupied for the request
-	Wait                       // queued; a later Release or Expire returns its ticket
+	Wait                       // queued; a later call returns its ticket
 	Refuse                     // the queue is full, or the deadline can't be met
 )
 
-// AdmissionLimits holds the limits of an AdmissionQueue.
-type AdmissionLimits struct {
+// Limits holds the limits of a Queue.
+type Limits struct {
 	Slots int // maximum number of requests in progress at the host
 	Queue int // maximum number of requests waiting for a slot
 }
 
 type queuedRequest struct {
-	AdmissionRequest
-	arrivedAt time.Duration
-	seq       uint64
+	Request
+	seq uint64
 }
 
-// AdmissionQueue limits the requests in progress at a host to its slots. Further
-// requests wait in a bounded queue, which refuses those that can't meet their
-// deadline. It is not safe for concurrent use.
-type AdmissionQueue struct {
-	limits         AdmissionLimits
-	queue          []queuedRequest
-	running        map[uint64]int // requests in progress per session
-	busy           int
-	lastSeq        uint64
-	avgServiceTime time.Duration // exponential moving average of the time that requests hold a slot
+// Queue limits the requests in progress at a host to its slots. Further requests wait
+// in a bounded queue. It is not safe for concurrent use.
+//
+// Requests start by priority, but every urgentStarts starts one of a lower priority
+// that waits has its turn. Within a priority, requests that can still meet their
+// objective go before those that can't, sessions with fewer requests in progress before
+// others, and earlier requests before later ones.
+type Queue struct {
+	limits    Limits
+	queue     []queuedRequest
+	running   map[uint64]int // requests in progress per session
+	busy      int
+	lastSeq   uint64
+	preferred int                      // starts in a row that went before a request of a lower priority
+	work      map[uint64]time.Duration // moving average of the time that requests hold a slot, by class
+	avgWork   time.Duration            // the same for all requests
 }
 
 const (
-	initialServiceTime = 20 * time.Millisecond // average before the first request has finished
-	serviceTimeSamples = 8                     // a new sample has the weight 1/8 in the moving average
+	initialWork  = 20 * time.Millisecond // average before the first request has finished
+	workSamples  = 8                     // a new sample has the weight 1/8 in a moving average
+	maxClasses   = 1024                  // classes with a moving average of their own
+	urgentStarts = 3                     // starts that may go in a row before requests of lower priorities
 )
 
-// NewAdmissionQueue returns an empty queue with all slots free.
-func NewAdmissionQueue(limits AdmissionLimits) *AdmissionQueue {
-	return &AdmissionQueue{limits: limits, running: make(map[uint64]int), avgServiceTime: initialServiceTime}
+// NewQueue returns an empty queue with all slots free.
+func NewQueue(limits Limits) *Queue {
+	return &Queue{limits: limits, running: make(map[uint64]int), work: make(map[uint64]time.Duration), avgWork: initialWork}
 }
 
+// SetSlots changes the number of slots. Requests in progress keep theirs.
+func (q *Queue) SetSlots(n int) { q.limits.Slots = n }
+
 // Busy returns the number of occupied slots.
-func (q *AdmissionQueue) Busy() int { return q.busy }
+func (q *Queue) Busy() int { return q.busy }
 
 // Queued returns the number of requests in the queue.
-func (q *AdmissionQueue) Queued() int { return len(q.queue) }
+func (q *Queue) Queued() int { return len(q.queue) }
 
-// Admit requests a slot. If the request is refused, retryAfter estimates the time
-// until a slot becomes free.
-func (q *AdmissionQueue) Admit(now time.Duration, r AdmissionRequest) (d Decision, retryAfter time.Duration) {
-	if r.Deadline <= now {
-		return Refuse, q.estimateWait(len(q.queue))
-	}
-	if q.busy < q.limits.Slots {
-		q.occupySlot(r.Session)
-		return Start, 0
+// Work returns the time that a request of the class is expected to hold a slot.
+func (q *Queue) Work(class uint64) time.Duration {
+	if w, ok := q.work[class]; ok {
+		return w
 	}
-	estimate := q.estimateWait(q.countAhead(r.Priority))
-	if len(q.queue) >= q.limits.Queue || now+estimate+q.avgServiceTime > r.Deadline {
-		return Refuse, q.estimateWait(len(q.queue))
-	}
-	q.lastSeq++
-	q.queue = append(q.queue, queuedRequest{r, now, q.lastSeq})
-	return Wait, 0
+	return q.avgWork
+}
+
+// AverageWork returns the time that requests hold a slot on average.
+func (q *Queue) AverageWork() time.Duration { return q.avgWork }
+
+// EstimateWait estimates the time until a slot is free for a request that arrives now,
+// if expected further requests are about to arrive.
+func (q *Queue) EstimateWait(r *Request, expected int) time.Duration {
+	return q.wait(expected, func(queued *Request) bool {
+		return queued.Priority > r.Priority || queued.Priority == r.Priority && q.running[queued.Session] <= q.running[r.Session]
+	})
 }
 
-// countAhead returns the number of queued requests that start before a new one of
-// the given priority.
-func (q *AdmissionQueue) countAhead(priority int) int {
-	n := 0
+// TotalWait is like EstimateWait for a request that starts after all queued ones.
+func (q *Queue) TotalWait(expected int) time.Duration {
+	return q.wait(expected, func(*Request) bool { return true })
+}
+
+// wait returns the time until a slot is free after the queued requests that are ahead
+// and the expected ones.
+func (q *Queue) wait(expected int, isAhead func(*Request) bool) time.Duration {
+	var ahead time.Duration
 	for i := range q.queue {
-		if q.queue[i].Priority >= priority {
-			n++
+		if isAhead(&q.queue[i].Request) {
+			ahead += q.Work(q.queue[i].Class)
 		}
 	}
-	return n
+	if n := q.busy + expected + 1 - q.limits.Slots; n > 0 {
+		ahead += time.Duration(n) * q.avgWork
+	}
+	return ahead / time.Duration(q.limits.Slots)
 }
 
-// estimateWait estimates the time until a slot is free for a request with n
-// requests ahead of it.
-func (q *AdmissionQueue) estimateWait(n int) time.Duration {
-	return q.avgServiceTime * time.Duration(n+1) / time.Duration(q.limits.Slots)
+// Admit starts a request, queues it, or refuses it if the queue is full or its deadline
+// can't be met. If it is refused, retryAfter estimates the time until a slot becomes
+// free.
+func (q *Queue) Admit(now time.Duration, r Request) (d Decision, retryAfter time.Duration) {
+	if r.Deadline <= now {
+		return Refuse, q.EstimateWait(&r, 0)
+	}
+	wait := q.EstimateWait(&r, 0)
+	if q.busy >= q.limits.Slots && (len(q.queue) >= q.limits.Queue || now+wait+q.Work(r.Class) > r.Deadline) {
+		return Refuse, wait
+	}
+	return q.Enqueue(r), 0
 }
 
-func (q *AdmissionQueue) occupySlot(session uint64) {
+// Enqueue starts a request or queues it, whether or not it can meet its deadline. If the
+// queue is full, the request starts without a free slot.
+func (q *Queue) Enqueue(r Request) Decision {
+	if q.busy < q.limits.Slots || len(q.queue) >= q.limits.Queue {
+		q.ForceStart(r.Session)
+		return Start
+	}
+	q.lastSeq++
+	q.queue = append(q.queue, queuedRequest{r, q.lastSeq})
+	return Wait
+}
+
+// ForceStart starts a request of a session whether or not a slot is free.
+func (q *Queue) ForceStart(session uint64) {
 	q.busy++
 	q.running[session]++
 }
 
-// Release frees a slot that a request of the session held for the time spent. It
-// returns the tickets of the queued requests that now have slots.
-func (q *AdmissionQueue) Release(now time.Duration, session uint64, spent time.Duration) []Ticket {
+// Release frees the slot of a request that has ended. It returns the tickets of the
+// queued requests that start now.
+func (q *Queue) Release(now time.Duration, session uint64) []Ticket {
 	q.busy--
 	if q.running[session]--; q.running[session] <= 0 {
 		delete(q.running, session)
 	}
-	q.avgServiceTime += (spent - q.avgServiceTime) / serviceTimeSamples
-	return q.startQueued(now)
-}
-
-func (q *AdmissionQueue) startQueued(now time.Duration) (started []Ticket) {
-	for q.busy < q.limits.Slots {
-		i := q.nextQueued(now)
-		if i < 0 {
-			return started
+	var started []Ticket
+	for q.busy < q.limits.Slots && len(q.queue) > 0 {
+		i := q.next(now)
+		if q.queue[i].Deadline <= now {
+			break // Expire removes it
 		}
-		w := q.queue[i]
-		q.queue = slices.Delete(q.queue, i, i+1)
-		q.occupySlot(w.Session)
-		started = append(started, w.Ticket)
+		started = append(started, q.startQueued(i))
 	}
 	return started
 }
 
-// nextQueued returns the index of the queued request to start next, -1 if there is
-// none. It skips requests past their deadline, which Expire removes.
-func (q *AdmissionQueue) nextQueued(now time.Duration) int {
-	best := -1
-	for i := range q.queue {
-		if q.queue[i].Deadline <= now {
-			continue
-		}
-		if best < 0 || q.less(&q.queue[i], &q.queue[best]) {
+// RecordWork records the time for which a request of the class has held a slot.
+func (q *Queue) RecordWork(class uint64, spent time.Duration) {
+	if len(q.work) >= maxClasses {
+		clear(q.work)
+	}
+	w := q.Work(class)
+	q.work[class] = w + (spent-w)/workSamples
+	q.avgWork += (spent - q.avgWork) / workSamples
+}
+
+// startQueued starts the queued request with the index i and returns its ticket.
+func (q *Queue) startQueued(i int) Ticket {
+	r := q.queue[i].Request
+	q.queue = slices.Delete(q.queue, i, i+1)
+	q.ForceStart(r.Session)
+	return r.Ticket
+}
+
+// next returns the index of the queued request to start next. The queue must not be
+// empty.
+func (q *Queue) next(now time.Duration) int {
+	best, lower := 0, -1
+	for i := 1; i < len(q.queue); i++ {
+		if q.before(now, &q.queue[i], &q.queue[best]) {
 			best = i
 		}
 	}
+	for i := range q.queue {
+		if q.queue[i].Priority < q.queue[best].Priority && q.queue[i].Deadline > now && (lower < 0 || q.before(now, &q.queue[i], &q.queue[lower])) {
+			lower = i
+		}
+	}
+	switch {
+	case lower < 0:
+		q.preferred = 0
+	case q.preferred >= urgentStarts:
+		q.preferred = 0
+		return lower
+	default:
+		q.preferred++
+	}
 	return best
 }
 
-// less reports whether a starts before b: by priority, then by the number of
-// requests that their sessions have in progress, then by arrival.
-func (q *AdmissionQueue) less(a, b *queuedRequest) bool {
+// before reports whether a starts before b. Requests past their deadline come last.
+func (q *Queue) before(now time.Duration, a, b *queuedRequest) bool {
+	if x, y := a.Deadline <= now, b.Deadline <= now; x != y {
+		return y
+	}
 	if a.Priority != b.Priority {
 		return a.Priority > b.Priority
 	}
+	if x, y := q.isLate(now, a), q.isLate(now, b); x != y {
+		return y
+	}
 	if x, y := q.running[a.Session], q.running[b.Session]; x != y {
 		return x < y
 	}
 	return a.seq < b.seq
 }
 
+// isLate reports whether a request that starts now is expected to miss its objective.
+func (q *Queue) isLate(now time.Duration, r *queuedRequest) bool {
+	return r.Objective > 0 && now+q.Work(r.Class) > r.Objective
+}
+
+// StartOverdue starts all queued requests, in their order, if one of them is overdue,
+// and returns their tickets. A host that is given more than it can queue rejects the
+// rest, so that their clients need not wait for an answer that comes too late.
+func (q *Queue) StartOverdue(now time.Duration) (started []Ticket) {
+	if !slices.ContainsFunc(q.queue, func(r queuedRequest) bool { return r.StartBy > 0 && r.StartBy <= now }) {
+		return nil
+	}
+	return q.StartAll(now)
+}
+
+// StartAll starts all queued requests, in their order, and returns their tickets.
+func (q *Queue) StartAll(now time.Duration) (started []Ticket) {
+	for len(q.queue) > 0 {
+		started = append(started, q.startQueued(q.next(now)))
+	}
+	return started
+}
+
 // Cancel removes a request from the queue and reports whether it was queued.
-func (q *AdmissionQueue) Cancel(t Ticket) bool {
+func (q *Queue) Cancel(t Ticket) bool {
 	n := len(q.queue)
-	q.queue = slices.DeleteFunc(q.queue, func(w queuedRequest) bool { return w.Ticket == t })
+	q.queue = slices.DeleteFunc(q.queue, func(r queuedRequest) bool { return r.Ticket == t })
 	return len(q.queue) < n
 }
 
 // Expire removes the requests past their deadline from the queue and returns their
 // tickets.
-func (q *AdmissionQueue) Expire(now time.Duration) (late []Ticket) {
-	q.queue = slices.DeleteFunc(q.queue, func(w queuedRequest) bool {
-		if w.Deadline > now {
+func (q *Queue) Expire(now time.Duration) (late []Ticket) {
+	q.queue = slices.DeleteFunc(q.queue, func(r queuedRequest) bool {
+		if r.Deadline > now {
 			return false
 		}
-		late = append(late, w.Ticket)
+		late = append(late, r.Ticket)
 		return true
 	})
 	return late
--- a/internal/agent/requests.go
+++ b/internal/agent/requests.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"skylarkturn/internal/admission"
 	"skylarkturn/internal/request"
 )
 
@@ -13,19 +14,19 @@
 // goroutines that wait for them.
 type requests struct {
 	mu         sync.Mutex // guards the fields below
-	admission  *request.AdmissionQueue
+	admission  *admission.Queue
 	ledger     *request.Ledger
-	lastTicket request.Ticket
-	waiters    map[request.Ticket]chan bool // receive true when the request gets a slot, false when its deadline passes
-	inProgress map[string]chan struct{}     // by idempotency key; closed when the request ends
-	active     int                          // requests and feeds being served
+	lastTicket admission.Ticket
+	waiters    map[admission.Ticket]chan bool // receive true when the request gets a slot, false when its deadline passes
+	inProgress map[string]chan struct{}       // by idempotency key; closed when the request ends
+	active     int                            // requests and feeds being served
 }
 
 func newRequests(cfg Settings) *requests {
 	return &requests{
-		admission:  request.NewAdmissionQueue(request.AdmissionLimits{Slots: cfg.Slots, Queue: cfg.Queue}),
+		admission:  admission.NewQueue(admission.Limits{Slots: cfg.Slots, Queue: cfg.Queue}),
 		ledger:     request.NewLedger(request.DefaultLimits),
-		waiters:    make(map[request.Ticket]chan bool),
+		waiters:    make(map[admission.Ticket]chan bool),
 		inProgress: make(map[string]chan struct{}),
 	}
 }
@@ -75,18 +76,19 @@
 
 var errDeadlinePassed = errors.New("deadline passed while waiting for a slot")
 
-// acquire waits for a slot until the deadline. now and deadline are on the agent's
-// clock.
-func (q *requests) acquire(ctx context.Context, now, deadline time.Duration, session uint64, priority int) error {
+// acquire waits for a slot for a request until its deadline, and sets its ticket. Times
+// are on the agent's clock.
+func (q *requests) acquire(ctx context.Context, now time.Duration, r admission.Request) error {
 	q.mu.Lock()
 	q.lastTicket++
 	t := q.lastTicket
-	d, retryAfter := q.admission.Admit(now, request.AdmissionRequest{Ticket: t, Session: session, Priority: priority, Deadline: deadline})
+	r.Ticket = t
+	d, retryAfter := q.admission.Admit(now, r)
 	switch d {
-	case request.Start:
+	case admission.Start:
 		q.mu.Unlock()
 		return nil
-	case request.Refuse:
+	case admission.Refuse:
 		q.mu.Unlock()
 		return &refusedError{retryAfter}
 	}
@@ -100,13 +102,13 @@
 		}
 		return nil
 	case <-ctx.Done():
-		return q.cancelWait(ctx, t, now, session, ch)
+		return q.cancelWait(ctx, t, now, r.Session, ch)
 	}
 }
 
 // cancelWait removes a waiting request from the queue. If it has been given a slot in
 // the meantime, cancelWait releases the slot.
-func (q *requests) cancelWait(ctx context.Context, t request.Ticket, now time.Duration, session uint64, ch chan bool) error {
+func (q *requests) cancelWait(ctx context.Context, t admission.Ticket, now time.Duration, session uint64, ch chan bool) error {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.admission.Cancel(t) {
@@ -114,20 +116,22 @@
 		return ctx.Err()
 	}
 	if started := <-ch; started {
-		q.startWaiters(q.admission.Release(now, session, 0))
+		q.startWaiters(q.admission.Release(now, session))
 	}
 	return ctx.Err()
 }
 
-// release frees a slot that a request of the session occupied for the duration spent.
-func (q *requests) release(now time.Duration, session uint64, spent time.Duration) {
+// release frees a slot that a request of the session and class occupied for the duration
+// spent.
+func (q *requests) release(now time.Duration, session, class uint64, spent time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.startWaiters(q.admission.Release(now, session, spent))
+	q.admission.RecordWork(class, spent)
+	q.startWaiters(q.admission.Release(now, session))
 }
 
 // startWaiters starts the queued requests that have been given slots.
-func (q *requests) startWaiters(started []request.Ticket) {
+func (q *requests) startWaiters(started []admission.Ticket) {
 	for _, t := range started {
 		q.waiters[t] <- true
 		delete(q.waiters, t)
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -11,6 +11,9 @@
 	"strconv"
 	"time"
 
+	"github.com/zeebo/xxh3"
+
+	"skylarkturn/internal/admission"
 	"skylarkturn/internal/peer"
 	"skylarkturn/internal/request"
 	"skylarkturn/internal/service"
@@ -150,7 +153,7 @@
 		return
 	}
 	started := a.clock()
-	defer func() { a.requests.release(a.clock(), x.session, a.clock()-started) }()
+	defer a.release(x, started)
 	a.relayResponse(x)
 }
 
@@ -168,7 +171,7 @@
 // acquire waits for a slot. If none becomes free in time, it writes a problem response
 // and returns false.
 func (a *Agent) acquire(x *exchange) bool {
-	err := a.requests.acquire(x.ctx, a.clock(), x.deadline, x.session, x.class.Priority)
+	err := a.requests.acquire(x.ctx, a.clock(), x.admissionRequest())
 	if err == nil {
 		return true
 	}
@@ -176,6 +179,20 @@
 	return false
 }
 
+// admissionRequest returns the exchange as a request for a slot, without a ticket.
+func (x *exchange) admissionRequest() admission.Request {
+	return admission.Request{Session: x.session, Class: x.classID(), Priority: x.class.Priority, Deadline: x.deadline}
+}
+
+// classID identifies the exchange's class in the admission queue.
+func (x *exchange) classID() uint64 { return xxh3.HashString(x.class.Name) }
+
+// release frees the slot that the exchange has held since a time on the agent's clock.
+func (a *Agent) release(x *exchange, started time.Duration) {
+	now := a.clock()
+	a.requests.release(now, x.session, x.classID(), now-started)
+}
+
 // overloadedProblem returns the problem response for a request that got no slot.
 func (a *Agent) overloadedProblem(err error) problem {
 	p := problem{status: http.StatusServiceUnavailable, title: "overloaded", detail: err.Error(), outcome: request.OutcomeNotRun, retryAfter: time.Second}
@@ -193,7 +210,7 @@
 		return
 	}
 	started := a.clock()
-	defer func() { a.requests.release(a.clock(), x.session, a.clock()-started) }()
+	defer a.release(x, started)
 	answer, ran, err := a.runOnHost(x)
 	if err != nil {
 		a.writeProblem(x, hostProblem(ran, err))
@@ -270,7 +287,7 @@
 		a.requests.end(x.key, func(l *request.Ledger) { l.Fence(a.clock(), x.key) })
 		return
 	}
-	if err := a.requests.acquire(x.ctx, a.clock(), x.deadline, x.session, x.class.Priority); err != nil {
+	if err := a.requests.acquire(x.ctx, a.clock(), x.admissionRequest()); err != nil {
 		a.requests.end(x.key, func(l *request.Ledger) { l.Fence(a.clock(), x.key) })
 		a.writeProblem(x, a.overloadedProblem(err))
 		return
@@ -280,7 +297,7 @@
 	defer cancel()
 	x.ctx = ctx
 	answer, ran, err := a.runOnHost(x)
-	a.requests.release(a.clock(), x.session, a.clock()-started)
+	a.release(x, started)
 	switch {
 	case err == nil:
 		a.requests.end(x.key, func(l *request.Ledger) { l.Finish(a.clock(), x.key, *answer) })
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -77,6 +77,15 @@
 	Cause   string    `json:"cause"`
 	Peer    string    `json:"peer,omitempty"`
 	Version uint64    `json:"version,omitempty"` // of the configuration applied at the time
+	Load    *Load     `json:"load,omitempty"`    // of the host, if the decision rests on it
+}
+
+// Load is the load of a host at a decision on a request or a new flow.
+type Load struct {
+	InProgress  int     `json:"in_progress"`  // requests forwarded to the host and not answered
+	Held        int     `json:"held"`         // requests held back by the agent
+	WaitMS      float64 `json:"wait_ms"`      // expected wait of a request of the flow
+	ObjectiveMS float64 `json:"objective_ms"` // latency objective of the flow's requests
 }
 
 // JSONHandler serves the result of value as JSON.
--- a/internal/flowtable/action.go
+++ b/internal/flowtable/action.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"skylarkturn/internal/packet"
 	"skylarkturn/internal/tunnel"
@@ -32,9 +33,11 @@
 	HostRestarted                  // a new incarnation of the host has registered
 	HostEnded                      // nothing listens at the host's address
 	Forged                         // the packet has no legitimate sender
+	Held                           // the packet's request waits until the host can run it
+	Released                       // the packet's request has waited
 )
 
-var causeNames = [...]string{"unknown", "usual", "asked", "refused", "bounced", "host_left", "host_restarted", "host_ended", "forged"}
+var causeNames = [...]string{"unknown", "usual", "asked", "refused", "bounced", "host_left", "host_restarted", "host_ended", "forged", "held", "released"}
 
 // NumCauses is the number of causes, for arrays indexed by Cause.
 const NumCauses = len(causeNames)
@@ -56,6 +59,16 @@
 	Header    tunnel.Header  // header of a Reply
 	Packet    []byte         // packet to forward, or to return with a Reply
 	ClientAck uint32         // client's last acknowledgement number, for Reset
+	Waited    time.Duration  // time for which the packet was held, if Cause is Released
+	Load      Load           // that the decision rests on, if it rests on the load
+}
+
+// Load is the load of a host when a request or a new flow was held or refused.
+type Load struct {
+	InProgress int           // requests forwarded to the host and not answered
+	Held       int           // requests held back
+	Wait       time.Duration // expected wait of a request of the flow
+	Objective  time.Duration // latency objective of the flow's requests
 }
 
 // ownedReply returns the reply to a balancer that the host holds the flow.
--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -104,6 +104,7 @@
 		return Stale, out
 	}
 	t.host, t.registered, t.lastReport = r, true, now
+	t.admission.SetSlots(maxInProgress(t.slots()))
 	if same {
 		t.unanswered = unansweredPackets{}
 		out = t.resetPreviousIfReplaced(r.Seq > old.Seq, out)
@@ -116,12 +117,12 @@
 	t.unanswered = unansweredPackets{}
 	if known {
 		t.recordEnded(old)
-		out = t.endFlowsBefore(now.Add(-t.maxAge(r)), HostRestarted, out)
+		out = t.endFlowsBefore(now, now.Add(-t.maxAge(r)), HostRestarted, out)
 	}
 	if known || t.startedRecently(r) {
 		t.complete = true // all flows of the host were opened through this agent process
 	}
-	return Joined, t.resetPreviousIfReplaced(t.startedRecently(r), out)
+	return Joined, t.forwardStarted(now, t.resetPreviousIfReplaced(t.startedRecently(r), out))
 }
 
 // incarnation identifies one run of a host.
--- a/internal/flowtable/hostcheck.go
+++ b/internal/flowtable/hostcheck.go
@@ -71,5 +71,5 @@
 		out = append(out, refusedReply(k, q.balancer, tunnel.Ask, tunnel.NotHeld, nil))
 	}
 	clear(t.questions)
-	return t.endFlowsBefore(began, HostEnded, out)
+	return t.forwardStarted(began, t.endFlowsBefore(began, began, HostEnded, out))
 }
--- a/internal/flowtable/main_test.go
+++ b/internal/flowtable/main_test.go
@@ -4,6 +4,11 @@
 	"testing"
 
 	"go.uber.org/goleak"
+
+	"skylarkturn/internal/script"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	script.FixPropertyTests()
+	goleak.VerifyTestMain(m)
+}
--- a/internal/flowtable/outbound.go
+++ b/internal/flowtable/outbound.go
@@ -9,9 +9,13 @@
 
 // HandleOutbound handles a packet from the host.
 func (t *Table) HandleOutbound(now time.Time, p *packet.Header, raw []byte, out []Action) []Action {
+	return t.forwardStarted(now, t.handleOutbound(now, p, raw, out))
+}
+
+func (t *Table) handleOutbound(now time.Time, p *packet.Header, raw []byte, out []Action) []Action {
 	t.unanswered = unansweredPackets{}
 	if p.Flags.Has(packet.Bounced) {
-		return t.handleBounced(p, raw, out)
+		return t.handleBounced(now, p, raw, out)
 	}
 	k := p.KeyFromHost()
 	f := t.flows[k]
@@ -62,20 +66,21 @@
 		return out
 	}
 	if p.DataLen > 0 {
-		t.setRequestPending(f, false)
+		t.recordWork(now, f)
+		t.endRequest(now, f)
 	}
 	if p.Flags.Has(packet.FIN) {
 		f.hostFin = true
 	}
 	if p.Flags.Has(packet.RST) || f.hostFin && f.clientFin {
-		t.closeFlow(f)
+		t.closeFlow(now, f)
 	}
 	return out
 }
 
 // handleBounced handles a client packet that the host returned because it does
 // not hold, or does not accept, the flow.
-func (t *Table) handleBounced(p *packet.Header, raw []byte, out []Action) []Action {
+func (t *Table) handleBounced(now time.Time, p *packet.Header, raw []byte, out []Action) []Action {
 	k := p.KeyFromClient()
 	if q, ok := t.questions[k]; ok {
 		delete(t.questions, k)
@@ -90,11 +95,11 @@
 			return append(out, Action{Op: Drop, Cause: Bounced, Flow: k})
 		}
 		balancer := f.balancer
-		t.remove(k, f)
+		t.remove(now, k, f)
 		return append(out, refusedReply(k, balancer, tunnel.Deliver, tunnel.Full, raw))
 	case f.state == halfOpen:
 		return append(out, Action{Op: Drop, Cause: Bounced, Flow: k})
 	}
-	t.remove(k, f)
+	t.remove(now, k, f)
 	return append(out, Action{Op: Reset, Cause: Bounced, Flow: k, ClientAck: p.Ack})
 }
--- a/internal/flowtable/overload.go
+++ b/internal/flowtable/overload.go
@@ -1,35 +1,106 @@
 package flowtable
 
-import "time"
+import (
+	"math"
+	"time"
+
+	"skylarkturn/internal/admission"
+	"skylarkturn/internal/tunnel"
+)
 
 const (
+	// extraInProgress is the number of requests that the host has in progress beyond its
+	// slots, per slot, so that it need not wait for the agent between two requests.
+	extraInProgress = 0.25
+
 	// maxRequestsPerSlot is the number of running and queued requests per slot of
-	// the host at which it gets no new flows. Hosts queue a few requests per slot
-	// and reject the rest, and each rejection costs a client one of its few retries.
+	// the host at which it gets no new flows of unknown class. Hosts queue a few
+	// requests per slot and reject the rest, and each rejection costs a client one of
+	// its few retries.
 	maxRequestsPerSlot = 3
 
 	// firstRequestTimeout is how long a new flow counts as a request before its
 	// first request arrives: a few round trips to the client. After that the client
 	// may have disappeared.
 	firstRequestTimeout = 50 * time.Millisecond
+
+	// busyWait is the share of the latency objective from which a request's wait is
+	// reason to look for a less busy host.
+	busyWait = 0.1
+
+	// admissibleTime is the share of the latency objective within which a request must
+	// be expected to be served for a new flow to be accepted. The remainder is for the
+	// variation of execution times.
+	admissibleTime = 0.75
+
+	// A host that sends nothing for stalledWork times the usual execution time of a
+	// request, and at least minStalledTime, gets no new flows while requests are in
+	// progress there.
+	stalledWork    = 4
+	minStalledTime = 200 * time.Millisecond
 )
 
-// overloaded reports whether the host has so many requests that a new flow should
-// go to another host or wait. Flows that are about to open count as one request
-// each.
-func (t *Table) overloaded(now time.Time) bool {
+// maxInProgress returns the number of requests that a host with the given slots has in
+// progress at most.
+func maxInProgress(slots int) int {
+	return slots + int(math.Ceil(extraInProgress*float64(slots)))
+}
+
+// slots returns the number of requests that the host runs concurrently.
+func (t *Table) slots() int {
+	if t.host.Slots <= 0 {
+		return defaultSlots
+	}
+	return t.host.Slots
+}
+
+// overloadReason returns the reason for which the host's load rules out a new flow of a
+// route, or 0. Flows that are about to open count as one request each.
+func (t *Table) overloadReason(now time.Time, r *routeState, final bool) tunnel.Reason {
 	for len(t.pendingOpens) > 0 && now.Sub(t.pendingOpens[0]) >= firstRequestTimeout {
 		t.pendingOpens = t.pendingOpens[1:]
 	}
-	slots := t.host.Slots
-	if slots <= 0 {
-		slots = defaultSlots
+	if !r.class.Known() {
+		if t.Busy()+len(t.pendingOpens) >= maxRequestsPerSlot*t.slots() {
+			return tunnel.Crowded
+		}
+		return 0
 	}
-	return t.busyFlows+len(t.pendingOpens) >= maxRequestsPerSlot*slots
+	if t.stalled(now) {
+		return tunnel.Crowded
+	}
+	objective := float64(r.class.Objective)
+	if !final && float64(t.admission.TotalWait(len(t.pendingOpens))) > busyWait*objective {
+		return tunnel.Busy
+	}
+	expected := t.expectedWait(r) + t.admission.Work(r.id)
+	if float64(expected) > admissibleTime*objective {
+		return tunnel.Crowded
+	}
+	return 0
+}
+
+// load returns the load that decisions on flows of a route rest on.
+func (t *Table) load(r *routeState) Load {
+	return Load{
+		InProgress: t.admission.Busy(), Held: t.admission.Queued(),
+		Wait: t.expectedWait(r), Objective: r.class.Objective,
+	}
+}
+
+// expectedWait returns the time until a request of a route can start that arrives now.
+func (t *Table) expectedWait(r *routeState) time.Duration {
+	return t.admission.EstimateWait(&admission.Request{Session: r.id, Priority: r.priority()}, len(t.pendingOpens))
+}
+
+// stalled reports whether the host has sent nothing for longer than its requests take.
+func (t *Table) stalled(now time.Time) bool {
+	timeout := max(stalledWork*t.admission.AverageWork(), minStalledTime)
+	return t.admission.Busy() > 0 && t.unanswered.count >= minUnanswered && now.Sub(t.unanswered.since) > timeout
 }
 
 // recordOpened removes one pending open, because the requests of an open flow are
-// counted in busyFlows.
+// counted by the admission queue.
 func (t *Table) recordOpened() {
 	if len(t.pendingOpens) > 0 {
 		t.pendingOpens = t.pendingOpens[1:]
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -5,12 +5,14 @@
 	"net/netip"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/go-quicktest/qt"
 
 	"skylarkturn/internal/packet"
+	"skylarkturn/internal/route"
 	"skylarkturn/internal/script"
 	"skylarkturn/internal/tunnel"
 )
@@ -20,7 +22,7 @@
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txt", func(t *testing.T) func(script.Command) []string {
 		now := time.Unix(1_800_000_000, 0)
-		r := &runner{t: t, table: New(now, reportInterval, false), now: now}
+		r := &runner{t: t, table: New(now, reportInterval, false), now: now, routes: make(map[packet.Endpoint]packet.Endpoint)}
 		return r.run
 	})
 }
@@ -29,7 +31,8 @@
 	t            *testing.T
 	table        *Table
 	now          time.Time
-	lastSnapshot Snapshot // the last one that the script took
+	lastSnapshot Snapshot                            // the last one that the script took
+	routes       map[packet.Endpoint]packet.Endpoint // that the clients' last packets went to
 }
 
 const reportInterval = 1200 * time.Millisecond
@@ -96,6 +99,12 @@
 		return r.formatActions(r.table.HandleCheck(r.now.Add(time.Nanosecond), results[c.Arg(0)], c.Options["service"], nil))
 	case "counts":
 		return []string{fmt.Sprintf("flows=%d busy=%d complete=%v", r.table.Flows(), r.table.Busy(), r.table.Complete())}
+	case "held":
+		return []string{fmt.Sprint(r.table.Held())}
+	case "release-all":
+		return r.formatActions(r.table.ReleaseAll(r.now, nil))
+	case "load": // load N client ...: N requests of that class, of clients c101 and so on, which the host doesn't answer
+		return r.load(c)
 	}
 	return script.UnknownCommand(r.t, c)
 }
@@ -138,6 +147,39 @@
 	return append([]string{verdict.String()}, r.formatActions(out)...)
 }
 
+// class parses a class of requests, such as 1/250ms/1500ms; an empty text is an unknown
+// class.
+func (r *runner) class(text string) (c route.Class) {
+	if text == "" {
+		return c
+	}
+	parts := strings.Split(text, "/")
+	priority, err := strconv.ParseUint(parts[0], 10, 8)
+	qt.Assert(r.t, qt.IsNil(err))
+	c.Priority = uint8(priority)
+	for i, d := range []*time.Duration{&c.Objective, &c.Timeout} {
+		*d, err = time.ParseDuration(parts[i+1])
+		qt.Assert(r.t, qt.IsNil(err))
+	}
+	return c
+}
+
+// route returns the route of flows with the class that the text describes.
+func (r *runner) route(class string) packet.Endpoint {
+	if class == "" {
+		return listen
+	}
+	return packet.Endpoint{IP: listen.IP, Port: 1000 + uint16(r.class(class).Priority)}
+}
+
+// routeOf returns the route that the client's last packet went to.
+func (r *runner) routeOf(client packet.Endpoint) packet.Endpoint {
+	if route, ok := r.routes[client]; ok {
+		return route
+	}
+	return listen
+}
+
 func flagsOf(c script.Command) (f packet.Flags) {
 	for word, flag := range map[string]packet.Flags{"syn": packet.SYN, "ack": packet.ACK, "fin": packet.FIN, "rst": packet.RST, "bounced": packet.Bounced} {
 		if c.HasArg(word) {
@@ -147,15 +189,32 @@
 	return f
 }
 
+// load opens N flows, each of a client of its own, and sends a request on each.
+func (r *runner) load(c script.Command) []string {
+	for i := range nameIndex(r.t, "n"+c.Arg(0)) {
+		name := fmt.Sprint("c", 101+i)
+		class, service := c.Options["class"], c.Options["service"]
+		r.fromClient(script.Command{Args: []string{"b1", name, "syn", "final"}, Options: map[string]string{"class": class, "service": service}})
+		r.fromHost(script.Command{Args: []string{name, "syn", "ack"}, Options: map[string]string{"seq": "100"}})
+		r.fromClient(script.Command{Args: []string{"b1", name, "ack"}, Options: map[string]string{"class": class, "ack": "101", "len": "10"}})
+	}
+	return []string{fmt.Sprintf("busy=%d held=%d", r.table.Busy(), r.table.Held())}
+}
+
 // fromClient runs the command:
 //
-//	client b1 c1 syn|ack|fin|rst [ask] [service=NAME] [seq=N] [ack=N] [len=N]
+//	client b1 c1 syn|ack|fin|rst [ask] [final] [service=NAME] [class=PRIORITY/OBJECTIVE/TIMEOUT] [seq=N] [ack=N] [len=N]
+//
+// A class belongs to the client's route, one for each client whose class is given.
 func (r *runner) fromClient(c script.Command) []string {
-	p := packet.Header{Flags: flagsOf(c), Src: clientEndpoint(r.t, c.Arg(1)), Dst: listen, Seq: uint32(c.Int(r.t, "seq")), Ack: uint32(c.Int(r.t, "ack")), DataLen: c.Int(r.t, "len")}
+	p := packet.Header{Flags: flagsOf(c), Src: clientEndpoint(r.t, c.Arg(1)), Dst: r.route(c.Options["class"]), Seq: uint32(c.Int(r.t, "seq")), Ack: uint32(c.Int(r.t, "ack")), DataLen: c.Int(r.t, "len")}
 	h := tunnel.Header{Kind: tunnel.Deliver}
 	if c.HasArg("ask") {
 		h.Kind = tunnel.Ask
 	}
+	h.Final = c.HasArg("final")
+	h.Class = r.class(c.Options["class"])
+	r.routes[p.Src] = p.Dst
 	if s, ok := c.Options["service"]; ok {
 		h.Service = tunnel.ServiceIDOf(s)
 	}
@@ -172,7 +231,8 @@
 //
 //	host c1 syn ack|ack|fin|rst|bounced [seq=N] [ack=N] [len=N]
 func (r *runner) fromHost(c script.Command) []string {
-	p := packet.Header{Flags: flagsOf(c), Src: listen, Dst: clientEndpoint(r.t, c.Arg(0)), Seq: uint32(c.Int(r.t, "seq")), Ack: uint32(c.Int(r.t, "ack")), DataLen: c.Int(r.t, "len")}
+	client := clientEndpoint(r.t, c.Arg(0))
+	p := packet.Header{Flags: flagsOf(c), Src: r.routeOf(client), Dst: client, Seq: uint32(c.Int(r.t, "seq")), Ack: uint32(c.Int(r.t, "ack")), DataLen: c.Int(r.t, "len")}
 	if p.Flags.Has(packet.Bounced) {
 		p.Src, p.Dst = p.Dst, p.Src
 	}
@@ -185,7 +245,11 @@
 		flow := clientName(a.Flow)
 		switch a.Op {
 		case ToHost:
-			lines = append(lines, fmt.Sprintf("to host %s %s", flow, a.Cause))
+			line := fmt.Sprintf("to host %s %s", flow, a.Cause)
+			if a.Cause == Released {
+				line += fmt.Sprintf(" after %v: %s", a.Waited, a.Packet)
+			}
+			lines = append(lines, line)
 		case ToClient:
 			lines = append(lines, fmt.Sprintf("to client %s", flow))
 		case Reply:
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"skylarkturn/internal/admission"
 	"skylarkturn/internal/packet"
 	"skylarkturn/internal/tunnel"
 )
@@ -30,18 +31,19 @@
 )
 
 type flow struct {
-	state          state
-	accepted       bool   // the host has sent a SYN-ACK
-	requestPending bool   // a client request has not been answered yet
-	clientFin      bool   // the client has sent a FIN
-	hostFin        bool   // the host has sent a FIN
-	acceptSeq      uint32 // sequence number of the host's SYN-ACK
-	hostAck        uint32 // last acknowledgement number from the host, if hostAckValid
-	hostAckValid   bool
-	clientAck      uint32         // last acknowledgement number from the client
-	balancer       netip.AddrPort // balancer that forwarded the client's last packet
-	createdAt      time.Time
-	lastPacketAt   time.Time
+	state        state
+	accepted     bool   // the host has sent a SYN-ACK
+	clientFin    bool   // the client has sent a FIN
+	hostFin      bool   // the host has sent a FIN
+	acceptSeq    uint32 // sequence number of the host's SYN-ACK
+	hostAck      uint32 // last acknowledgement number from the host, if hostAckValid
+	hostAckValid bool
+	clientAck    uint32         // last acknowledgement number from the client
+	balancer     netip.AddrPort // balancer that forwarded the client's last packet
+	createdAt    time.Time
+	lastPacketAt time.Time
+	route        *routeState // shared by the flows of the route
+	request      request     // the client's current request
 }
 
 // pendingQuestion is a packet of an unknown flow that was forwarded to the host
@@ -54,7 +56,7 @@
 
 // Table tracks the flows of one host. It is not safe for concurrent use.
 type Table struct {
-	started           time.Time     // start of the agent
+	startedAt         time.Time     // start of the agent
 	reportInterval    time.Duration // interval of the host's heartbeats
 	complete          bool          // every flow that the host holds is in flows
 	host              Report        // newest report; without an ID if none has been received
@@ -68,10 +70,14 @@
 	endedIncarnations []incarnation                  // oldest first
 	previous          Snapshot                       // written by an earlier agent process
 	previousHostEnded bool                           // the host of the previous snapshot is known to have ended
-	pendingOpens      []time.Time                    // when each flow that is not open yet was forwarded to the host, oldest first
-	activeFlows       int                            // flows that are open or half open
-	busyFlows         int                            // flows with a pending request
-	evictions         uint64                         // flows evicted because the table was full
+	routes            map[packet.Endpoint]*routeState
+	admission         *admission.Queue                // of the host
+	heldFlows         map[admission.Ticket]packet.Key // flows whose request is held back
+	started           []admission.Ticket              // requests that have got a slot and are not forwarded yet
+	lastTicket        admission.Ticket
+	pendingOpens      []time.Time // when each flow that is not open yet was forwarded to the host, oldest first
+	activeFlows       int         // flows that are open or half open
+	evictions         uint64      // flows evicted because the table was full
 }
 
 // New returns the table of an agent that starts now and whose host reports at
@@ -79,19 +85,26 @@
 // agent, so the empty table is complete.
 func New(now time.Time, reportInterval time.Duration, firstStart bool) *Table {
 	return &Table{
-		started:        now,
+		startedAt:      now,
 		reportInterval: reportInterval,
 		complete:       firstStart,
 		flows:          make(map[packet.Key]*flow),
 		questions:      make(map[packet.Key]pendingQuestion),
+		routes:         make(map[packet.Endpoint]*routeState),
+		heldFlows:      make(map[admission.Ticket]packet.Key),
+		admission:      admission.NewQueue(admission.Limits{Slots: maxInProgress(defaultSlots), Queue: maxHeldRequests}),
 	}
 }
 
 // Flows returns the number of flows that are open or half open.
 func (t *Table) Flows() int { return t.activeFlows }
 
-// Busy returns the number of flows with a pending request.
-func (t *Table) Busy() int { return t.busyFlows }
+// Busy returns the number of requests that the host has not answered yet, held ones
+// included.
+func (t *Table) Busy() int { return t.admission.Busy() + t.admission.Queued() }
+
+// Held returns the number of requests that are held back.
+func (t *Table) Held() int { return t.admission.Queued() }
 
 // Complete reports whether the table contains every flow that the host holds.
 func (t *Table) Complete() bool { return t.complete }
@@ -102,6 +115,10 @@
 
 // HandleInbound handles a client packet that a balancer forwarded.
 func (t *Table) HandleInbound(now time.Time, from netip.AddrPort, h *tunnel.Header, p *packet.Header, raw []byte, out []Action) []Action {
+	return t.forwardStarted(now, t.handleInbound(now, from, h, p, raw, out))
+}
+
+func (t *Table) handleInbound(now time.Time, from netip.AddrPort, h *tunnel.Header, p *packet.Header, raw []byte, out []Action) []Action {
 	k := p.KeyFromClient()
 	f := t.flows[k]
 	if p.Opens() {
@@ -118,8 +135,12 @@
 		t.recordOpened()
 	}
 	f.balancer, f.lastPacketAt = from, now
-	t.updateFromClient(f, p)
-	out = append(out, Action{Op: ToHost, Cause: Usual, Flow: k, Packet: raw})
+	f.route.update(h.Class)
+	if t.updateFromClient(now, k, f, p, raw) {
+		out = append(out, Action{Op: ToHost, Cause: Usual, Flow: k, Packet: raw})
+	} else {
+		out = append(out, Action{Op: Drop, Cause: Held, Flow: k, Load: t.load(f.route)})
+	}
 	if h.Kind == tunnel.Ask {
 		out = append(out, ownedReply(k, from))
 	}
@@ -153,8 +174,12 @@
 		if reason := t.rejectReason(h.Service); reason != 0 {
 			return append(out, refusedReply(k, from, tunnel.Deliver, reason, raw))
 		}
-		if t.overloaded(now) {
-			return append(out, refusedReply(k, from, tunnel.Deliver, tunnel.Crowded, raw))
+		r := t.routeOf(k)
+		r.update(h.Class)
+		if reason := t.overloadReason(now, r, h.Final); reason != 0 {
+			refused := refusedReply(k, from, tunnel.Deliver, reason, raw)
+			refused.Load = t.load(r)
+			return append(out, refused)
 		}
 		f = t.add(now, k)
 		t.pendingOpens = append(t.pendingOpens, now)
@@ -179,19 +204,23 @@
 	return f.hostAckValid && int32(end-f.hostAck) <= 0
 }
 
-func (t *Table) updateFromClient(f *flow, p *packet.Header) {
+// updateFromClient updates a flow with a packet of the client and reports whether the
+// packet is to be forwarded to the host.
+func (t *Table) updateFromClient(now time.Time, k packet.Key, f *flow, p *packet.Header, raw []byte) (forward bool) {
+	forward = true
 	if p.Flags.Has(packet.ACK) {
 		f.clientAck = p.Ack
 	}
 	if p.DataLen > 0 && !f.isRetransmission(p) {
-		t.setRequestPending(f, true)
+		forward = t.admitRequest(now, k, f, p, raw)
 	}
 	if p.Flags.Has(packet.FIN) {
 		f.clientFin = true
 	}
 	if p.Flags.Has(packet.RST) || f.hostFin && f.clientFin {
-		t.closeFlow(f)
+		t.closeFlow(now, f)
 	}
+	return forward
 }
 
 // Tick runs the timers: it resets the flows of a host that has left and removes
@@ -199,11 +228,11 @@
 func (t *Table) Tick(now time.Time, out []Action) []Action {
 	if t.hostLeft && !t.resetFlowsAt.IsZero() && now.After(t.resetFlowsAt) {
 		t.resetFlowsAt = time.Time{}
-		out = t.endAllFlows(HostLeft, out)
+		out = t.endAllFlows(now, HostLeft, out)
 		out = t.resetPreviousFlows(HostLeft, out)
 		t.complete = true
 	}
-	if !t.complete && now.Sub(t.started) > completeAfter {
+	if !t.complete && now.Sub(t.startedAt) > completeAfter {
 		t.complete = true
 	}
 	for k, q := range t.questions {
@@ -212,7 +241,8 @@
 		}
 	}
 	t.removeExpired(now)
-	return out
+	t.started = append(t.started, t.admission.StartOverdue(t.clock(now))...)
+	return t.forwardStarted(now, out)
 }
 
 // removeExpired removes flows that have been idle for too long. It checks at most
@@ -226,18 +256,18 @@
 		}
 		timeout := [...]time.Duration{halfOpen: halfOpenTimeout, open: openTimeout, closed: closedTimeout}[f.state]
 		if now.Sub(f.lastPacketAt) > busyTimeout {
-			t.setRequestPending(f, false)
+			t.endRequest(now, f)
 		}
 		if now.Sub(f.lastPacketAt) > timeout {
-			t.remove(k, f)
+			t.remove(now, k, f)
 		}
 	}
 }
 
 // endAllFlows removes all flows and resets those that are open.
-func (t *Table) endAllFlows(cause Cause, out []Action) []Action {
+func (t *Table) endAllFlows(now time.Time, cause Cause, out []Action) []Action {
 	clear(t.questions)
-	return t.endFlowsBefore(farFuture, cause, out)
+	return t.endFlowsBefore(now, farFuture, cause, out)
 }
 
 // farFuture is later than the creation time of any flow.
@@ -245,7 +275,7 @@
 
 // endFlowsBefore removes the flows created before the cutoff and resets those that
 // are open.
-func (t *Table) endFlowsBefore(cutoff time.Time, cause Cause, out []Action) []Action {
+func (t *Table) endFlowsBefore(now, cutoff time.Time, cause Cause, out []Action) []Action {
 	for k, f := range t.flows {
 		if !f.createdAt.Before(cutoff) {
 			continue
@@ -253,7 +283,7 @@
 		if f.state == open {
 			out = append(out, Action{Op: Reset, Cause: cause, Flow: k, ClientAck: f.clientAck})
 		}
-		t.remove(k, f)
+		t.remove(now, k, f)
 	}
 	return out
 }
@@ -261,45 +291,33 @@
 // add inserts a half-open flow. If the table is full, it evicts another flow.
 func (t *Table) add(now time.Time, k packet.Key) *flow {
 	if old := t.flows[k]; old != nil {
-		t.remove(k, old)
+		t.remove(now, k, old)
 	}
 	if len(t.flows) >= maxFlows {
 		for victim, f := range t.flows { // map iteration order makes the choice random
-			t.remove(victim, f)
+			t.remove(now, victim, f)
 			t.evictions++
 			t.complete = false
 			break
 		}
 	}
-	f := &flow{createdAt: now, lastPacketAt: now}
+	f := &flow{createdAt: now, lastPacketAt: now, route: t.routeOf(k)}
 	t.flows[k] = f
 	t.activeFlows++
 	return f
 }
 
 // closeFlow marks a flow as closed. It stays in the table for closedTimeout.
-func (t *Table) closeFlow(f *flow) {
+func (t *Table) closeFlow(now time.Time, f *flow) {
 	if f.state == closed {
 		return
 	}
-	t.setRequestPending(f, false)
+	t.endRequest(now, f)
 	f.state = closed
 	t.activeFlows--
 }
 
-func (t *Table) remove(k packet.Key, f *flow) {
-	t.closeFlow(f)
+func (t *Table) remove(now time.Time, k packet.Key, f *flow) {
+	t.closeFlow(now, f)
 	delete(t.flows, k)
 }
-
-func (t *Table) setRequestPending(f *flow, pending bool) {
-	if f.requestPending == pending || f.state == closed {
-		return
-	}
-	f.requestPending = pending
-	if pending {
-		t.busyFlows++
-	} else {
-		t.busyFlows--
-	}
-}
--- a/internal/loadmodel/client.go
+++ b/internal/loadmodel/client.go
@@ -18,6 +18,7 @@
 // request is one request of a user, with all its tries.
 type request struct {
 	class     *Class
+	user      user
 	client    *client
 	sentAt    time.Time
 	tries     int
@@ -25,6 +26,7 @@
 	offeredAt time.Time   // when a host first received it
 	endedAt   time.Time
 	served    bool
+	openFlow  bool
 	timedOut  bool // ended by its deadline
 }
 
@@ -41,24 +43,30 @@
 	model *model
 	ip    uint32
 	port  uint16
-	idle  map[*Class][]*clientFlow
+	idle  map[user]*clientFlow
 	flows map[packet.Key]*clientFlow
 }
 
+// user identifies a user of a client, who sends requests of a class.
+type user struct {
+	class  *Class
+	number int
+}
+
 // clientFlow is the client's end of a flow.
 type clientFlow struct {
 	key         packet.Key
-	class       *Class
+	user        user
 	open        bool
 	seq, ack    uint32
-	request     *request // nil while idle
-	left        int      // requests until the client closes the flow
-	lastAnswers int      // answers received; invalidates timers of earlier requests
+	request     *request  // nil while idle
+	endAt       time.Time // the user closes the flow when idle after this
+	lastAnswers int       // answers received; invalidates timers of earlier requests
 }
 
 // start starts a request.
-func (c *client) start(class *Class) {
-	r := &request{class: class, client: c, sentAt: c.model.now}
+func (c *client) start(class *Class, number int) {
+	r := &request{class: class, user: user{class, number}, client: c, sentAt: c.model.now}
 	c.model.requests = append(c.model.requests, r)
 	c.model.after(time.Duration(class.Deadline), func() {
 		if !r.ended() {
@@ -77,17 +85,19 @@
 // try sends the request on an idle flow, or on a new one.
 func (c *client) try(r *request) {
 	r.tries++
-	idle := c.idle[r.class]
-	if n := len(idle); n > 0 {
-		f := idle[n-1]
-		c.idle[r.class] = idle[:n-1]
-		c.sendRequest(f, r)
-		return
+	if f := c.idle[r.user]; f != nil {
+		delete(c.idle, r.user)
+		if c.model.now.Before(f.endAt) {
+			r.openFlow = true
+			c.sendRequest(f, r)
+			return
+		}
+		c.close(f)
 	}
 	c.port++
 	f := &clientFlow{
-		key:   packet.Key{Client: packet.Endpoint{IP: c.ip, Port: c.port}, Route: c.model.routeOf[r.class]},
-		class: r.class, request: r, seq: c.model.rand.Uint32(), left: c.model.requestsPerFlow(r.class),
+		key:  packet.Key{Client: packet.Endpoint{IP: c.ip, Port: c.port}, Route: c.model.routeOf[r.class]},
+		user: r.user, request: r, seq: c.model.rand.Uint32(), endAt: c.model.endOfFlow(r.class),
 	}
 	r.flow = f
 	c.flows[f.key] = f
@@ -108,7 +118,6 @@
 // sendRequest sends a request on an open flow, and repeats it until an answer comes.
 func (c *client) sendRequest(f *clientFlow, r *request) {
 	f.request, r.flow = r, f
-	f.left--
 	answers := f.lastAnswers
 	var send func(interval time.Duration)
 	send = func(interval time.Duration) {
@@ -152,7 +161,9 @@
 	switch {
 	case f == nil:
 	case p.header.Flags.Has(packet.RST):
-		c.dropIdle(f)
+		if c.idle[f.user] == f {
+			delete(c.idle, f.user)
+		}
 		c.fail(f, !f.open)
 	case p.header.Accepts():
 		if !f.open {
@@ -165,28 +176,16 @@
 	}
 }
 
-// dropIdle removes a flow from the idle ones.
-func (c *client) dropIdle(f *clientFlow) {
-	idle := c.idle[f.class]
-	for i := range idle {
-		if idle[i] == f {
-			c.idle[f.class] = append(idle[:i], idle[i+1:]...)
-			return
-		}
-	}
-}
-
 func (c *client) receiveAnswer(f *clientFlow, p message) {
 	r := f.request
 	f.lastAnswers++
 	f.seq += requestLen
 	f.ack += uint32(p.header.DataLen)
 	f.request = nil
-	if f.left <= 0 || !p.executed {
-		delete(c.flows, f.key)
-		c.send(f, packet.Header{Flags: packet.FIN | packet.ACK, Seq: f.seq, Ack: f.ack}, nil)
+	if !p.executed || !c.model.now.Before(f.endAt) || c.idle[f.user] != nil {
+		c.close(f)
 	} else {
-		c.idle[f.class] = append(c.idle[f.class], f)
+		c.idle[f.user] = f
 	}
 	if p.executed {
 		c.end(r, true)
@@ -196,6 +195,12 @@
 	c.fail(f, true)
 }
 
+// close closes a flow.
+func (c *client) close(f *clientFlow) {
+	delete(c.flows, f.key)
+	c.send(f, packet.Header{Flags: packet.FIN | packet.ACK, Seq: f.seq, Ack: f.ack}, nil)
+}
+
 // send sends a packet to the balancer that the fabric selects.
 func (c *client) send(f *clientFlow, h packet.Header, r *request) {
 	h.Src, h.Dst = f.key.Client, f.key.Route
--- a/internal/loadmodel/daemon.go
+++ b/internal/loadmodel/daemon.go
@@ -59,7 +59,7 @@
 	for _, a := range actions {
 		switch a.Op {
 		case steering.Send:
-			h := tunnel.Header{Kind: a.Kind, Flow: a.Flow}
+			h := tunnel.Header{Kind: a.Kind, Flow: a.Flow, Class: a.Class, Final: a.Final}
 			if a.Service != "" {
 				h.Service = tunnel.ServiceIDOf(a.Service)
 			}
@@ -108,7 +108,7 @@
 		switch x.Op {
 		case flowtable.ToHost:
 			p := a.model.decode(x.Packet)
-			a.host.handle(&p)
+			a.model.after(localLag, func() { a.host.handle(&p) })
 		case flowtable.ToClient:
 			a.model.sendToClient(a.model.decode(x.Packet))
 		case flowtable.Reply:
@@ -120,25 +120,30 @@
 	}
 }
 
-// report passes a heartbeat of the host to the table.
+// report passes the host's heartbeats to the table.
 func (a *agent) report() {
+	a.reportNow()
+	a.model.after(hostReportInterval, a.report)
+}
+
+// reportNow passes a heartbeat of the host to the table.
+func (a *agent) reportNow() {
 	if !a.host.silent {
 		a.seq++
 		r := flowtable.Report{
 			ID: a.addr.String(), StartTime: int64(1 + a.host.started), Seq: a.seq, Service: a.host.service.Name,
-			State: flowtable.HostReady, Slots: a.host.service.Slots,
+			State: flowtable.HostReady, Slots: a.host.service.Slots, WarmupLeft: a.host.coldUntil.Sub(a.model.now),
 		}
 		_, out := a.table.HandleReport(a.model.now, r, nil)
 		a.execute(out)
 	}
-	a.model.after(hostReportInterval, a.report)
 }
 
 // heartbeat reports the load to all balancers.
 func (a *agent) heartbeat() {
 	t := steering.Target{
 		Agent: a.addr, Service: a.host.service.Name, Ready: true, Weight: float64(a.host.service.Slots),
-		Flows: uint32(a.table.Flows()), Busy: uint32(a.table.Busy()),
+		Flows: uint32(a.table.Flows()), Busy: uint32(a.table.Busy()), AcceptsClass: true,
 	}
 	a.model.after(time.Duration(a.model.DaemonLag), func() {
 		for _, b := range a.model.balancers {
--- a/internal/loadmodel/host.go
+++ b/internal/loadmodel/host.go
@@ -8,6 +8,7 @@
 )
 
 const (
+	localLag      = 150 * time.Microsecond
 	handshakeTime = 300 * time.Microsecond // of a host, to accept a flow
 	rejectTime    = 200 * time.Microsecond // of a host, to answer that its queue is full
 	maxWorkFactor = 6                      // longest execution time relative to the mean
@@ -16,14 +17,15 @@
 // host simulates a host: it runs up to slots requests, queues some more in order of
 // arrival and rejects the rest.
 type host struct {
-	model   *model
-	agent   *agent
-	service *Service
-	flows   map[packet.Key]*hostFlow
-	running int
-	queue   []execution
-	silent  bool // loses all packets
-	started int  // number of starts; executions of earlier ones end without an answer
+	model     *model
+	agent     *agent
+	service   *Service
+	flows     map[packet.Key]*hostFlow
+	running   int
+	queue     []execution
+	silent    bool // loses all packets
+	started   int  // number of starts; executions of earlier ones end without an answer
+	coldUntil time.Time
 }
 
 // hostFlow is the host's end of a flow.
@@ -95,7 +97,11 @@
 func (h *host) run(e execution) {
 	h.running++
 	incarnation := h.started
-	h.model.after(h.model.workTime(e.request.class), func() {
+	work := h.model.workTime(e.request.class)
+	if h.model.now.Before(h.coldUntil) {
+		work = time.Duration(float64(work) * h.service.ColdFactor)
+	}
+	h.model.after(work, func() {
 		if h.started != incarnation {
 			return
 		}
@@ -121,7 +127,7 @@
 // send passes a packet to the agent.
 func (h *host) send(delay time.Duration, p message) {
 	incarnation := h.started
-	h.model.after(delay, func() {
+	h.model.after(delay+localLag, func() {
 		if !h.silent && h.started == incarnation {
 			h.agent.handleOutbound(p)
 		}
@@ -132,6 +138,8 @@
 func (h *host) restart() {
 	h.started++
 	h.running, h.queue, h.flows = 0, nil, make(map[packet.Key]*hostFlow)
+	h.coldUntil = h.model.now.Add(time.Duration(h.service.ColdTime))
+	h.agent.reportNow()
 }
 
 // workTime returns a random execution time of a class, with a log-normal distribution.
--- a/internal/loadmodel/model.go
+++ b/internal/loadmodel/model.go
@@ -38,7 +38,8 @@
 )
 
 // Run runs a scenario with a seed and returns what clients have seen.
-func Run(s *Scenario, seed uint64) *Result {
+func Run(s *Scenario, seed uint64) *Result { return RunDbg(s, seed).result() }
+func RunDbg(s *Scenario, seed uint64) *model {
 	m := &model{
 		Scenario: s, rand: rand.New(rand.NewPCG(seed, 1)), routeOf: make(map[*Class]packet.Endpoint),
 		clientAt: make(map[uint32]*client), balancerAt: make(map[netip.AddrPort]*balancer), agentAt: make(map[netip.AddrPort]*agent),
@@ -57,7 +58,7 @@
 	end := m.now.Add(time.Duration(s.Length))
 	m.runUntil(end)
 	m.runUntil(end.Add(m.longestDeadline()))
-	return m.result()
+	return m
 }
 
 // routes returns the configuration with a route for each class.
@@ -68,6 +69,7 @@
 		m.routeOf[c] = packet.Endpoint{IP: routeIP, Port: firstPort + uint16(i)}
 		cfg.Routes = append(cfg.Routes, route.Route{
 			Name: c.Name, Listen: m.routeOf[c], Shares: []route.Share{{Service: c.Service, Weight: 1}},
+			Class: route.Class{Priority: uint8(c.Priority), Objective: time.Duration(c.Objective), Timeout: time.Duration(c.Deadline)},
 		})
 	}
 	table, err := route.NewTable(cfg)
@@ -109,7 +111,7 @@
 
 func (m *model) addClients() {
 	for i := range m.Clients {
-		c := &client{model: m, ip: clientNet + uint32(i), port: 1024, idle: make(map[*Class][]*clientFlow), flows: make(map[packet.Key]*clientFlow)}
+		c := &client{model: m, ip: clientNet + uint32(i), port: 1024, idle: make(map[user]*clientFlow), flows: make(map[packet.Key]*clientFlow)}
 		m.clients = append(m.clients, c)
 		m.clientAt[c.ip] = c
 	}
@@ -124,22 +126,19 @@
 // arrive starts the requests of a class at random times until the end of the load.
 func (m *model) arrive(c *Class) {
 	at := m.now.Sub(m.started).Seconds()
-	wait := time.Duration(m.rand.ExpFloat64() / m.rate(c, at) * float64(time.Second))
+	factor := m.factor(c, at)
+	wait := time.Duration(m.rand.ExpFloat64() / (c.Rate * factor) * float64(time.Second))
 	m.after(wait, func() {
 		if m.now.Sub(m.started) < time.Duration(m.Length) {
-			m.clients[m.rand.IntN(len(m.clients))].start(c)
+			m.clients[m.rand.IntN(len(m.clients))].start(c, m.rand.IntN(int(float64(m.Users)*factor+0.5)))
 			m.arrive(c)
 		}
 	})
 }
 
-// requestsPerFlow returns a random number of requests for a new flow of a class.
-func (m *model) requestsPerFlow(c *Class) int {
-	n := 1
-	for m.rand.Float64() >= 1/c.PerFlow {
-		n++
-	}
-	return n
+// endOfFlow returns a random time at which a user closes a new flow of a class.
+func (m *model) endOfFlow(c *Class) time.Time {
+	return m.now.Add(time.Duration(m.rand.ExpFloat64() * float64(c.FlowLife)))
 }
 
 // schedule schedules an outage.
--- a/internal/loadmodel/model_test.go
+++ b/internal/loadmodel/model_test.go
@@ -62,3 +62,60 @@
 	r := Run(s, 1)
 	qt.Check(t, qt.IsTrue(r.Worth > 0.99), qt.Commentf("worth %.3f", r.Worth))
 }
+
+// seeds are the seeds that the tests of loads run a scenario with.
+var seeds = []uint64{1, 2, 3}
+
+// TestUrgentRequestsPassFullHosts checks in bursts of up to a third more than the hosts
+// can carry that the urgent requests, which open a flow each, are served at least as well
+// as the less urgent ones, which mostly come on open flows.
+func TestUrgentRequestsPassFullHosts(t *testing.T) {
+	s := load(t, "three_bursts")
+	for _, seed := range seeds {
+		r := Run(s, seed)
+		urgent, usual := r.Class("confirm"), r.Class("status")
+		qt.Check(t, qt.IsTrue(urgent.Worth >= 0.97), qt.Commentf("seed %d: %+v", seed, urgent))
+		qt.Check(t, qt.IsTrue(urgent.Worth >= usual.Worth), qt.Commentf("seed %d: %+v, %+v", seed, urgent, usual))
+	}
+}
+
+// TestOverloadIsAnsweredBeforeDeadlines checks that requests which overloaded hosts
+// can't serve are refused: hardly any waits until its deadline.
+func TestOverloadIsAnsweredBeforeDeadlines(t *testing.T) {
+	for _, name := range []string{"three_bursts", "two_routes", "urgent_burst"} {
+		for _, c := range Run(load(t, name), 1).Classes {
+			qt.Check(t, qt.IsTrue(float64(c.TimedOut) <= 0.005*float64(c.Asked)), qt.Commentf("%s: %+v", name, c))
+		}
+	}
+}
+
+// TestBurstOfOneRouteLeavesOthersAlone checks that a route with six times its load takes
+// nothing from another route of the same urgency.
+func TestBurstOfOneRouteLeavesOthersAlone(t *testing.T) {
+	s := load(t, "two_routes")
+	for _, seed := range seeds {
+		steady := Run(s, seed).Class("steady")
+		qt.Check(t, qt.IsTrue(steady.Worth >= 0.97), qt.Commentf("seed %d: %+v", seed, steady))
+	}
+}
+
+// TestUrgentBurstLeavesAShareToOthers checks that urgent requests beyond what the hosts
+// can carry leave some slots to less urgent ones.
+func TestUrgentBurstLeavesAShareToOthers(t *testing.T) {
+	s := load(t, "urgent_burst")
+	for _, seed := range seeds {
+		usual := Run(s, seed).Class("usual")
+		qt.Check(t, qt.IsTrue(usual.Worth >= 0.75), qt.Commentf("seed %d: %+v", seed, usual))
+	}
+}
+
+// TestReturningLoadIsServedAfterPowerLoss checks that requests are served again in the
+// window after the one in which all hosts have returned cold and without their flows.
+func TestReturningLoadIsServedAfterPowerLoss(t *testing.T) {
+	s := load(t, "power_loss")
+	for _, seed := range seeds {
+		r := Run(s, seed)
+		back := time.Duration(s.Outages[0].At+s.Outages[0].Length)/windowLength + 1
+		qt.Check(t, qt.IsTrue(r.Windows[back] >= 0.9), qt.Commentf("seed %d: windows %.3f", seed, r.Windows))
+	}
+}
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -11,7 +11,7 @@
 	Length    settings.Duration `toml:"length"` // of the load; outstanding requests then finish
 	Balancers int               `toml:"balancers"`
 	Clients   int               `toml:"clients"`    // addresses; each has Users users
-	Users     int               `toml:"users"`      // flows that a client keeps open per class that reuses them
+	Users     int               `toml:"users"`      // of a client without a burst; each keeps a flow per class that reuses them
 	ClientLag settings.Duration `toml:"client_lag"` // one way, between clients and daemons
 	DaemonLag settings.Duration `toml:"daemon_lag"` // one way, between daemons
 	Services  []Service         `toml:"service"`
@@ -26,6 +26,9 @@
 	Hosts int    `toml:"hosts"`
 	Slots int    `toml:"slots"` // requests that a host runs concurrently
 	Queue int    `toml:"queue"` // further requests that it queues; it rejects the rest
+
+	ColdTime   settings.Duration `toml:"cold_time"`   // after a restart, in which requests take longer
+	ColdFactor float64           `toml:"cold_factor"` // by how much
 }
 
 // Class describes the requests of one route.
@@ -42,10 +45,10 @@
 	Priority   int               `toml:"priority"`   // 0 is the most urgent
 	Retries    int               `toml:"retries"`
 	Idempotent bool              `toml:"idempotent"`
-	PerFlow    float64           `toml:"per_flow"` // mean number of requests per flow; 1 opens a flow for each request
+	FlowLife   settings.Duration `toml:"flow_life"` // mean life of a user's flow; 0 opens a flow for each request
 }
 
-// Burst multiplies the rate of all classes, or of one.
+// Burst multiplies the users of all classes, or of one.
 type Burst struct {
 	At     settings.Duration `toml:"at"`
 	Length settings.Duration `toml:"length"`
@@ -78,8 +81,8 @@
 		if !services[c.Service] {
 			return settings.Invalidf("class.service", "class %q: no service is named %q", c.Name, c.Service)
 		}
-		if c.Rate <= 0 || c.Work <= 0 || c.PerFlow < 1 {
-			return settings.Invalidf("class.rate", "class %q: rate and work must be positive, per_flow at least 1", c.Name)
+		if c.Rate <= 0 || c.Work <= 0 {
+			return settings.Invalidf("class.rate", "class %q: rate and work must be positive", c.Name)
 		}
 	}
 	for _, o := range s.Outages {
@@ -90,16 +93,17 @@
 	return nil
 }
 
-// rate returns the requests per second of a class at a time in seconds.
-func (s *Scenario) rate(c *Class, at float64) float64 {
-	rate := c.Rate
+// factor returns by how much the users of a class exceed the usual number at a time in
+// seconds.
+func (s *Scenario) factor(c *Class, at float64) float64 {
+	factor := 1.0
 	for _, b := range s.Bursts {
 		from := seconds(b.At)
 		if at >= from && at < from+seconds(b.Length) && (b.Class == "" || b.Class == c.Name) {
-			rate *= b.Factor
+			factor *= b.Factor
 		}
 	}
-	return rate
+	return factor
 }
 
 // Load reads a scenario from a TOML file.
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -121,7 +121,7 @@
 		a.close()
 		return nil, err
 	}
-	self := roster.Member{Name: cfg.Name, Zone: cfg.Zone, Addr: a.innerSocket.Addr(), Incarnation: uint64(now.UnixNano())}
+	self := roster.Member{Name: cfg.Name, Zone: cfg.Zone, Addr: a.innerSocket.Addr(), Incarnation: uint64(now.UnixNano()), AcceptsClass: true}
 	setService(&self, cfg.Service)
 	a.members = membership.NewAgent(now, self, cfg.Seeds)
 	a.addGauges()
@@ -181,10 +181,13 @@
 // unreachable until the agent has restarted. An agent without a host leaves
 // permanently and deregisters.
 func (a *Agent) leave(ctx context.Context) {
+	now := time.Now()
 	a.mu.Lock()
 	_, hasHost := a.flows.Host()
-	out := a.members.Leave(time.Now(), !hasHost)
+	out := a.members.Leave(now, !hasHost)
+	released := a.flows.ReleaseAll(now, nil)
 	a.mu.Unlock()
+	a.execute(released)
 	a.sendMessages(out)
 	a.log.Info().Str("event", "stopped").Bool("for_good", !hasHost).Msg("")
 	if !hasHost {
--- a/internal/packetagent/counters.go
+++ b/internal/packetagent/counters.go
@@ -8,9 +8,11 @@
 
 	"skylarkturn/internal/flowtable"
 	"skylarkturn/internal/ops"
+	"skylarkturn/internal/tunnel"
 )
 
 type counters struct {
+	set              *metrics.Set
 	actions          [flowtable.Drop + 1][flowtable.NumCauses]*metrics.Counter // by operation and cause
 	invalidPackets   *metrics.Counter
 	hostSocketErrors *metrics.Counter
@@ -23,6 +25,7 @@
 	gauge := ops.LockedGauges(a.metrics, &a.mu)
 	gauge(`skylark_flows`, func() float64 { return float64(a.flows.Flows()) })
 	gauge(`skylark_flows_busy`, func() float64 { return float64(a.flows.Busy()) })
+	gauge(`skylark_requests_held`, func() float64 { return float64(a.flows.Held()) })
 	gauge(`skylark_flows_evicted`, func() float64 { return float64(a.flows.Evictions()) })
 	gauge(`skylark_host_heartbeat_age_seconds`, func() float64 { return a.flows.ReportAge(time.Now()).Seconds() })
 	gauge(`skylark_store_epoch`, func() float64 { return float64(a.storeEpoch()) })
@@ -32,6 +35,7 @@
 
 func newCounters(set *metrics.Set) counters {
 	c := counters{
+		set:              set,
 		invalidPackets:   set.NewCounter(`skylark_packets_forged_total`),
 		hostSocketErrors: set.NewCounter(`skylark_host_socket_errors_total`),
 		storeErrors:      set.NewCounter(`skylark_store_errors_total`),
@@ -45,3 +49,17 @@
 	}
 	return c
 }
+
+// observeHold records how long a request was held before it was forwarded.
+func (c *counters) observeHold(a *flowtable.Action) {
+	if a.Cause == flowtable.Released {
+		c.set.GetOrCreateHistogram(fmt.Sprintf(`skylark_request_hold_seconds{route=%q}`, a.Flow.Route.AddrPort())).Update(a.Waited.Seconds())
+	}
+}
+
+// observeRefusal counts a new flow that was refused for the host's load.
+func (c *counters) observeRefusal(a *flowtable.Action) {
+	if reason := a.Header.Reason; a.Op == flowtable.Reply && (reason == tunnel.Crowded || reason == tunnel.Busy) {
+		c.set.GetOrCreateCounter(fmt.Sprintf(`skylark_flows_refused_total{route=%q,reason=%q}`, a.Flow.Route.AddrPort(), reason)).Inc()
+	}
+}
--- a/internal/packetagent/forward.go
+++ b/internal/packetagent/forward.go
@@ -7,6 +7,7 @@
 
 	"skylarkturn/internal/backoff"
 	"skylarkturn/internal/control"
+	"skylarkturn/internal/fleet"
 	"skylarkturn/internal/flowtable"
 	"skylarkturn/internal/membership"
 	"skylarkturn/internal/packet"
@@ -92,6 +93,8 @@
 	for i := range actions {
 		action := &actions[i]
 		a.counters.actions[action.Op][action.Cause].Inc()
+		a.counters.observeHold(action)
+		a.counters.observeRefusal(action)
 		switch action.Op {
 		case flowtable.ToHost:
 			a.sendPacket(action.Packet, a.settings.HostAddr)
@@ -126,7 +129,7 @@
 	if action.Cause == flowtable.Usual && !reply {
 		return
 	}
-	d := trace.Decision{At: now, Flow: action.Flow, Outcome: outcomeNames[action.Op], Cause: action.Cause.String()}
+	d := trace.Decision{At: now, Flow: action.Flow, Outcome: outcomeNames[action.Op], Cause: action.Cause.String(), Load: loadOf(action)}
 	if reply {
 		d.Peer = action.Balancer.String()
 		d.Outcome = "refuse"
@@ -136,16 +139,30 @@
 		}
 	}
 	a.decisions.Add(d)
-	if action.Cause == flowtable.Usual || action.Cause == flowtable.Asked || action.Header.Reason == tunnel.NotHeld || !a.flowLogLimit.Allow(now) {
+	if action.Cause == flowtable.Usual || action.Cause == flowtable.Asked || action.Header.Reason == tunnel.NotHeld || action.Header.Reason == tunnel.Busy || !a.flowLogLimit.Allow(now) {
 		return
 	}
 	e := a.log.Info().Str("event", "flow").Stringer("flow", action.Flow).Str("outcome", d.Outcome).Str("cause", d.Cause)
 	if d.Peer != "" {
 		e.Str("balancer", d.Peer)
 	}
+	if l := d.Load; l != nil {
+		e.Int("in_progress", l.InProgress).Int("held", l.Held).Float64("wait_ms", l.WaitMS).Float64("objective_ms", l.ObjectiveMS)
+	}
 	e.Msg("")
 }
 
+// loadOf returns the load that an action rests on, or nil.
+func loadOf(action *flowtable.Action) *fleet.Load {
+	l := &action.Load
+	if *l == (flowtable.Load{}) {
+		return nil
+	}
+	return &fleet.Load{InProgress: l.InProgress, Held: l.Held, WaitMS: milliseconds(l.Wait), ObjectiveMS: milliseconds(l.Objective)}
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
 // HandleMessage handles a balancer's answer to a heartbeat.
 func (a *Agent) HandleMessage(m *control.Message) {
 	a.platform.Epochs.Observe(m.StoreEpoch) // an older epoch than the known one is ignored
--- a/internal/packetbalancer/forward.go
+++ b/internal/packetbalancer/forward.go
@@ -109,7 +109,7 @@
 				questions[a.Agent] = append(questions[a.Agent], tunnel.Question{Flow: a.Flow, Ack: a.ClientAck})
 				continue
 			}
-			h := tunnel.Header{Kind: a.Kind, Flow: a.Flow}
+			h := tunnel.Header{Kind: a.Kind, Flow: a.Flow, Class: a.Class, Final: a.Final}
 			if a.Service != "" {
 				h.Service = tunnel.ServiceIDOf(a.Service)
 			}
--- a/internal/packetbalancer/members.go
+++ b/internal/packetbalancer/members.go
@@ -127,6 +127,8 @@
 		Weight:   float64(m.Slots) * float64(m.Warmth) / fullWarmthPercent,
 		Flows:    m.Sessions,
 		Busy:     m.Busy,
+
+		AcceptsClass: m.AcceptsClass,
 	}
 	if b.steering.Put(now, t, heartbeat) {
 		b.log.Info().Str("event", "target").Stringer("agent", m.Addr).Str("name", m.Name).
--- a/internal/request/doc.go
+++ b/internal/request/doc.go
@@ -1,5 +1,5 @@
-// Package request implements admission control (AdmissionQueue) and at-most-once
-// execution (Ledger) of the requests of one agent.
+// Package request implements at-most-once execution (Ledger) of the requests of one
+// agent.
 //
 // A request that is not idempotent carries an idempotency key and a binding to one
 // incarnation of one agent. Only that incarnation may run it, so its ledger has the
--- a/internal/roster/member.go
+++ b/internal/roster/member.go
@@ -65,6 +65,7 @@
 	ServiceName    string         `cbor:"13,keyasint,omitempty"` // service name, on platforms that do not number services
 	Slots          uint32         `cbor:"14,keyasint,omitempty"` // maximum concurrent requests of the target
 	PlannedRestart bool           `cbor:"16,keyasint,omitempty"` // stopped for a planned restart
+	AcceptsClass   bool           `cbor:"17,keyasint,omitempty"` // the agent accepts the class of a flow with its packets
 	Busy           uint32         `cbor:"15,keyasint,omitempty"` // requests in progress; sent in heartbeats only
 }
 
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"skylarkturn/internal/packet"
 )
@@ -12,11 +13,23 @@
 	Weight  uint32 `cbor:"2,keyasint"` // relative to the route's other shares
 }
 
+// Class describes the requests that the flows of a route carry. The zero value is the
+// class of requests of which nothing is known.
+type Class struct {
+	Priority  uint8         `cbor:"1,keyasint,omitempty"` // 0 is the most urgent
+	Objective time.Duration `cbor:"2,keyasint,omitempty"` // latency objective
+	Timeout   time.Duration `cbor:"3,keyasint,omitempty"` // clients wait no longer
+}
+
+// Known reports whether anything is known of the requests.
+func (c Class) Known() bool { return c.Objective > 0 && c.Timeout > 0 }
+
 // Route divides the new flows to one address and port between services.
 type Route struct {
 	Name   string          `cbor:"1,keyasint"`
 	Listen packet.Endpoint `cbor:"2,keyasint"` // address and port that clients send to
 	Shares []Share         `cbor:"3,keyasint"`
+	Class  Class           `cbor:"4,keyasint,omitempty"`
 }
 
 // Service returns the service for a flow with the given hash; ok is false when
--- a/internal/steering/action.go
+++ b/internal/steering/action.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"skylarkturn/internal/packet"
+	"skylarkturn/internal/route"
 	"skylarkturn/internal/tunnel"
 )
 
@@ -58,6 +59,8 @@
 	Agent     netip.AddrPort // of Send
 	Kind      tunnel.Kind    // of Send
 	Service   string         // of Send, when the flow is new
+	Class     route.Class    // of Send, if it is known and the agent accepts it
+	Final     bool           // of Send, when the flow is new: no less busy target is known
 	Packet    []byte         // of Send; nil for most queries
 	ClientAck uint32         // of Reset and of queries
 	Waited    time.Duration  // of Send, from the flow's first packet to its placement, or from the start of a lookup to its result
--- a/internal/steering/place.go
+++ b/internal/steering/place.go
@@ -34,7 +34,7 @@
 		if !f.confirmed {
 			cause = Placed
 		}
-		return append(out, Action{Op: Send, Cause: cause, Flow: k, Agent: f.owner, Kind: tunnel.Deliver, Service: owner.Service, Packet: raw})
+		return append(out, Action{Op: Send, Cause: cause, Flow: k, Agent: f.owner, Kind: tunnel.Deliver, Service: owner.Service, Class: owner.classOf(f), Packet: raw})
 	case f.owner.IsValid():
 		f.tried = append(f.tried, f.owner)
 	}
@@ -47,7 +47,7 @@
 	if t.routes == nil {
 		return append(out, t.queueOpen(now, k, f, raw))
 	}
-	if f.crowded && now.Sub(f.firstSeen) >= maxCrowdedWait {
+	if f.crowded && now.Sub(f.firstSeen) >= f.longestWait() {
 		f.tried = f.tried[:0] // a later retransmission may try them again
 		return append(out, Action{Op: Reset, Cause: AllRefused, Flow: k, ClientAck: clientAck})
 	}
@@ -56,28 +56,48 @@
 	if !ok {
 		return append(out, Action{Op: Reset, Cause: NoTarget, Flow: k, ClientAck: clientAck})
 	}
-	ranked := t.services[service].rank(hash, func(n *target) bool {
-		return n.available() && !n.throttled(now) && !slices.Contains(f.tried, n.Agent)
-	})
-	best := ranked.leastLoaded()
+	best, final := t.services[service].choose(now, k, f)
 	if best == nil {
 		return append(out, t.queueOrRefuse(now, k, f, service, clientAck, raw))
 	}
 	f.owner = best.Agent
-	best.recordPlacement(now)
+	best.placed++
+	best.crowding[k.Route].recordPlacement(now)
 	cause := Placed
 	if len(f.tried) > 0 {
 		cause = PlacedAgain
 	}
-	return append(out, Action{Op: Send, Cause: cause, Flow: k, Agent: best.Agent, Kind: tunnel.Deliver, Service: service, Packet: raw, Waited: now.Sub(f.firstSeen)})
+	class := best.classOf(f)
+	return append(out, Action{
+		Op: Send, Cause: cause, Flow: k, Agent: best.Agent, Kind: tunnel.Deliver, Service: service,
+		Class: class, Final: final && class.Known(), Packet: raw, Waited: now.Sub(f.firstSeen),
+	})
+}
+
+// choose returns the target to place a flow on, or nil, and whether no less busy target
+// is known. Targets where requests wait are only chosen if there is no other one.
+func (g *targetGroup) choose(now time.Time, k packet.Key, f *flow) (best *target, final bool) {
+	hash := k.Hash()
+	accepting := func(n *target) bool {
+		return n.available() && !n.crowding[k.Route].throttled(now, n.Weight) && !slices.Contains(f.tried, n.Agent)
+	}
+	ranked := g.rank(hash, func(n *target) bool { return !n.crowding[k.Route].busy(now) && accepting(n) })
+	if ranked.n > 0 {
+		return ranked.leastLoaded(), ranked.n == 1
+	}
+	ranked = g.rank(hash, accepting)
+	return ranked.leastLoaded(), true
 }
 
 // queueOrRefuse queues a new flow without an available target when one may accept
 // it soon, and resets it otherwise.
 func (t *Table) queueOrRefuse(now time.Time, k packet.Key, f *flow, service string, clientAck uint32, raw []byte) Action {
-	starting, crowded := t.services[service].pendingCapacity(now)
+	group := t.services[service]
+	starting, crowded := group.pendingCapacity(now, k.Route)
 	switch {
-	case starting || crowded && now.Sub(f.firstSeen) < maxCrowdedWait:
+	case starting:
+	case crowded && group.mayWait(now, k.Route, f):
+		group.waitingOf(k.Route).queued++
 	case crowded || len(f.tried) > 0:
 		f.tried = f.tried[:0] // a later retransmission may try them again
 		return Action{Op: Reset, Cause: AllRefused, Flow: k, ClientAck: clientAck}
@@ -96,8 +116,12 @@
 	return Action{Op: Drop, Cause: Unsettled, Flow: k}
 }
 
-// retryQueued retries the placement of all queued flows, oldest first.
+// retryQueued retries the placement of all queued flows: the most urgent first, then
+// those that can still meet their objective, then the oldest.
 func (t *Table) retryQueued(now time.Time, out []Action) []Action {
+	for _, g := range t.services {
+		g.startTick(now)
+	}
 	queued := make([]packet.Key, 0, len(t.pending))
 	for k, f := range t.pending {
 		if f.queuedOpen != nil {
@@ -105,7 +129,14 @@
 		}
 	}
 	slices.SortFunc(queued, func(a, b packet.Key) int {
-		return cmp.Or(t.pending[a].firstSeen.Compare(t.pending[b].firstSeen), cmp.Compare(a.Hash(), b.Hash()))
+		f, g := t.pending[a], t.pending[b]
+		if late := f.isLate(now); f.class.Priority == g.class.Priority && late != g.isLate(now) {
+			if late {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(f.class.Priority, g.class.Priority), f.firstSeen.Compare(g.firstSeen), cmp.Compare(a.Hash(), b.Hash()))
 	})
 	for _, k := range queued {
 		out = t.retryPlacement(now, k, t.pending[k], out)
@@ -138,10 +169,12 @@
 // agent, depending on the reason.
 func (t *Table) handleOpenRefusal(now time.Time, from netip.AddrPort, h *tunnel.Header, f *flow, p *packet.Header, raw []byte, out []Action) []Action {
 	n := t.targets[from]
-	crowded := n != nil && h.Reason == tunnel.Crowded
+	loaded := n != nil && (h.Reason == tunnel.Crowded || h.Reason == tunnel.Busy)
 	switch {
-	case crowded:
-		n.recordCrowdedRefusal(now)
+	case loaded && h.Reason == tunnel.Busy:
+		n.crowdingOf(h.Flow.Route).recordBusyRefusal(now)
+	case loaded:
+		n.crowdingOf(h.Flow.Route).recordCrowdedRefusal(now)
 		f.crowded = true
 	case n != nil && h.Reason != tunnel.Full:
 		n.refusing = true
@@ -149,7 +182,7 @@
 	if f.owner != from || t.routes.Lookup(h.Flow.Route) == nil {
 		return out
 	}
-	if !crowded {
+	if !loaded {
 		f.tried = append(f.tried, from)
 	}
 	return t.place(now, h.Flow, f, p.Ack, raw, out)
--- a/internal/steering/script_test.go
+++ b/internal/steering/script_test.go
@@ -101,13 +101,15 @@
 
 // setRoutes runs the command:
 //
-//	routes VERSION r1=bookdesk:9,kitdocs:1 r2=kitdocs
+//	routes VERSION r1=bookdesk:9,kitdocs:1 r2=kitdocs r3=bookdesk/PRIORITY/OBJECTIVE/TIMEOUT
 func (r *runner) setRoutes(c script.Command) {
 	version, err := strconv.ParseUint(c.Arg(0), 10, 64)
 	qt.Assert(r.t, qt.IsNil(err))
 	cfg := route.Config{Version: version}
 	for name, split := range c.Options {
 		rt := route.Route{Name: name, Listen: r.listen(name)}
+		split, class, _ := strings.Cut(split, "/")
+		rt.Class = r.parseClass(class)
 		for s := range strings.SplitSeq(split, ",") {
 			service, weight, ok := strings.Cut(s, ":")
 			w := uint64(1)
@@ -124,9 +126,28 @@
 	r.table.SetRoutes(table)
 }
 
+// parseClass parses a class of requests, such as 1/250ms/1500ms; an empty text is an
+// unknown class.
+func (r *runner) parseClass(text string) (c route.Class) {
+	if text == "" {
+		return c
+	}
+	parts := strings.Split(text, "/")
+	priority, err := strconv.ParseUint(parts[0], 10, 8)
+	qt.Assert(r.t, qt.IsNil(err))
+	c.Priority = uint8(priority)
+	for i, d := range []*time.Duration{&c.Objective, &c.Timeout} {
+		*d, err = time.ParseDuration(parts[i+1])
+		qt.Assert(r.t, qt.IsNil(err))
+	}
+	return c
+}
+
 // parseTarget parses the command:
 //
-//	target a1 bookdesk [draining|starting] [suspect] [gossip] [flows=N] [busy=N] [weight=N]
+//	target a1 bookdesk [draining|starting] [suspect] [gossip] [old] [flows=N] [busy=N] [weight=N]
+//
+// An agent of an old version accepts no class.
 func (r *runner) parseTarget(c script.Command) Target {
 	weight := 4.0
 	if _, ok := c.Options["weight"]; ok {
@@ -135,6 +156,7 @@
 	return Target{
 		Agent: r.agent(c.Arg(0)), Service: c.Arg(1), Weight: weight, Flows: uint32(c.Int(r.t, "flows")), Busy: uint32(c.Int(r.t, "busy")),
 		Ready: !c.HasArg("draining") && !c.HasArg("starting"), Starting: c.HasArg("starting"), Suspect: c.HasArg("suspect"),
+		AcceptsClass: !c.HasArg("old"),
 	}
 }
 
@@ -184,6 +206,12 @@
 			if a.Service != "" {
 				s += " for " + a.Service
 			}
+			if a.Class.Known() {
+				s += fmt.Sprintf(" class %d", a.Class.Priority)
+			}
+			if a.Final {
+				s += " final"
+			}
 			shown = append(shown, s)
 		case Reset:
 			shown = append(shown, fmt.Sprintf("reset %s ack=%d", a.Cause, a.ClientAck))
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -37,6 +37,7 @@
 	firstSeen      time.Time        // first packet of the current attempt to open it
 	lastUsed       time.Time        // last packet of the client or answer of the owner
 	clientAck      uint32           // the client's latest acknowledgement number
+	class          route.Class      // of its requests, when its first packet arrived
 	lostAt         time.Time        // when the flow was found to have no owner
 	lookup         *lookup
 	queuedOpen     []byte // opening packet that waits for a target
@@ -113,7 +114,7 @@
 func (t *Table) Put(now time.Time, update Target, fresh bool) bool {
 	old := t.targets[update.Agent]
 	if old == nil {
-		old = &target{hash: agentHash(update.Agent)}
+		old = &target{hash: agentHash(update.Agent), crowding: make(map[packet.Endpoint]*crowding)}
 		t.targets[update.Agent] = old
 	} else if old.Service != update.Service {
 		t.removeFromGroup(old)
@@ -127,10 +128,11 @@
 	old.Target = update
 	if fresh {
 		old.placed, old.refusing = 0, false
+		old.forgetCrowding(now)
 	}
 	if regroup {
 		if t.services[update.Service] == nil {
-			t.services[update.Service] = &targetGroup{}
+			t.services[update.Service] = &targetGroup{waiting: make(map[packet.Endpoint]*waitingFlows)}
 		}
 		t.services[update.Service].add(old)
 	}
@@ -189,8 +191,10 @@
 	if f != nil {
 		f.established, f.clientAck, f.queuedOpen = !closes(h.Flags), h.Ack, nil
 	}
-	if f != nil && f.owner.IsValid() && t.targets[f.owner] != nil {
-		return append(out, Action{Op: Send, Cause: Known, Flow: k, Agent: f.owner, Kind: tunnel.Deliver, Packet: raw})
+	if f != nil && f.owner.IsValid() {
+		if owner := t.targets[f.owner]; owner != nil {
+			return append(out, Action{Op: Send, Cause: Known, Flow: k, Agent: f.owner, Kind: tunnel.Deliver, Class: owner.classOf(f), Packet: raw})
+		}
 	}
 	if f != nil && now.Sub(f.lostAt) < lostFlowResetPeriod {
 		return append(out, Action{Op: Reset, Cause: Lost, Flow: k, ClientAck: h.Ack})
@@ -240,7 +244,7 @@
 		f = t.addFlow(now, k)
 	}
 	if n := t.targets[from]; n != nil && !f.confirmed && f.owner == from {
-		n.recordAcceptance()
+		t.recordAcceptance(now, n, k.Route)
 	}
 	f.owner, f.confirmed, f.lastUsed, f.lostAt = from, true, now, time.Time{}
 	l := f.lookup
@@ -250,7 +254,7 @@
 	f.lookup = nil
 	delete(t.pending, k)
 	for _, raw := range l.buffered {
-		out = append(out, Action{Op: Send, Cause: Found, Flow: k, Agent: from, Kind: tunnel.Deliver, Packet: raw, Waited: now.Sub(l.started)})
+		out = append(out, Action{Op: Send, Cause: Found, Flow: k, Agent: from, Kind: tunnel.Deliver, Class: t.targets[from].classOf(f), Packet: raw, Waited: now.Sub(l.started)})
 	}
 	return out
 }
@@ -288,6 +292,9 @@
 		}
 	}
 	f := &flow{firstSeen: now, lastUsed: now}
+	if r := t.routes.Lookup(k.Route); r != nil {
+		f.class = r.Class
+	}
 	t.flows[k] = f
 	return f
 }
--- a/internal/steering/target.go
+++ b/internal/steering/target.go
@@ -9,6 +9,7 @@
 
 	flowid "skylarkturn/internal/flow" // this package has a type named flow
 	"skylarkturn/internal/packet"
+	"skylarkturn/internal/route"
 )
 
 // Target is a balancer's view of an agent and its host.
@@ -21,6 +22,8 @@
 	Weight   float64 // relative share of new flows: the host's slots, reduced during warm-up
 	Flows    uint32  // open flows at its last heartbeat
 	Busy     uint32  // requests in progress at its last heartbeat
+
+	AcceptsClass bool // the agent accepts the class of a flow with its packets
 }
 
 // maxCandidates is the number of targets, ranked by rendezvous hashing, of which
@@ -32,80 +35,11 @@
 // target is a Target with the state that placement adds to it.
 type target struct {
 	Target
-	hash          uint64    // of the agent's address
-	placed        uint32    // flows placed here since the last heartbeat
-	refusing      bool      // has refused a new flow since the last heartbeat
-	startingSince time.Time // when it was first reported as starting
-	throttle      throttle
-}
-
-const (
-	minThrottleInterval = 50 * time.Millisecond  // long enough for a crowded target to complete some requests
-	maxThrottleInterval = 400 * time.Millisecond // the agent's next heartbeat reports its load by then
-	throttleExpiry      = 500 * time.Millisecond // since the last refusal, or two intervals if that is longer
-	maxCrowdedWait      = 600 * time.Millisecond // longest wait of a new flow for a crowded service
-)
-
-// throttle limits the new flows of a target that has refused one with
-// tunnel.Crowded. The target gets none for one interval, then at most its weight
-// in flows per interval until the throttle expires. The interval doubles with
-// further refusals and halves with each flow accepted. Without the limit, a large
-// number of balancers would keep the agents busy refusing flows.
-type throttle struct {
-	lastRefusal   time.Time     // last refusal with tunnel.Crowded; zero if none
-	interval      time.Duration // current length of an interval
-	intervalStart time.Time     // start of the interval that admitted counts in
-	admitted      float64       // flows placed since intervalStart
-}
-
-// throttled reports whether the target gets no new flow before the current
-// interval ends.
-func (t *target) throttled(now time.Time) bool {
-	th := &t.throttle
-	if th.lastRefusal.IsZero() {
-		return false
-	}
-	since := now.Sub(th.lastRefusal)
-	switch {
-	case since < th.interval:
-		return true
-	case since >= max(throttleExpiry, 2*th.interval):
-		return false
-	}
-	return now.Sub(th.intervalStart) < th.interval && th.admitted >= t.Weight
-}
-
-// recordPlacement counts a new flow placed on the target.
-func (t *target) recordPlacement(now time.Time) {
-	t.placed++
-	th := &t.throttle
-	if th.lastRefusal.IsZero() {
-		return
-	}
-	if now.Sub(th.intervalStart) >= th.interval {
-		th.intervalStart, th.admitted = now, 0
-	}
-	th.admitted++
-}
-
-// recordCrowdedRefusal starts or extends the throttle after the target has
-// refused a flow with tunnel.Crowded.
-func (t *target) recordCrowdedRefusal(now time.Time) {
-	th := &t.throttle
-	since := now.Sub(th.lastRefusal)
-	switch {
-	case th.lastRefusal.IsZero() || since >= max(throttleExpiry, 2*th.interval):
-		th.interval = minThrottleInterval
-	case since >= th.interval:
-		th.interval = min(2*th.interval, maxThrottleInterval)
-	}
-	th.lastRefusal = now
-}
-
-// recordAcceptance halves the throttle interval after the target has accepted a
-// flow.
-func (t *target) recordAcceptance() {
-	t.throttle.interval = max(t.throttle.interval/2, minThrottleInterval)
+	hash          uint64                        // of the agent's address
+	placed        uint32                        // flows placed here since the last heartbeat
+	refusing      bool                          // has refused a new flow since the last heartbeat
+	startingSince time.Time                     // when it was first reported as starting
+	crowding      map[packet.Endpoint]*crowding // by route; missing for routes that it has not refused
 }
 
 // startupGrace is how long new flows wait for a starting target. A host that is
@@ -129,6 +63,15 @@
 	return float64(t.Flows+busyWeight*t.Busy+t.placed+1) / t.Weight
 }
 
+// classOf returns the class of a flow's requests for the target's agent, or none if that
+// does not accept it or if the target, a nil pointer, is not known.
+func (t *target) classOf(f *flow) route.Class {
+	if t == nil || !t.AcceptsClass {
+		return route.Class{}
+	}
+	return f.class
+}
+
 // available reports whether the target accepts new flows, as far as the balancer
 // knows.
 func (t *target) available() bool { return t.Ready && !t.Suspect && !t.refusing && t.Weight > 0 }
@@ -164,6 +107,7 @@
 type targetGroup struct {
 	targets []*target
 	hashes  []uint64
+	waiting map[packet.Endpoint]*waitingFlows // by route
 }
 
 func (g *targetGroup) add(t *target) {
@@ -179,15 +123,15 @@
 	}
 }
 
-// pendingCapacity reports whether any target is starting, and whether any
-// available target is throttled.
-func (g *targetGroup) pendingCapacity(now time.Time) (starting, throttled bool) {
+// pendingCapacity reports whether any target is starting, and whether any available
+// target is throttled for flows of a route.
+func (g *targetGroup) pendingCapacity(now time.Time, r packet.Endpoint) (starting, throttled bool) {
 	if g == nil {
 		return false, false
 	}
 	for _, n := range g.targets {
 		starting = starting || n.starting(now)
-		throttled = throttled || n.available() && n.throttled(now)
+		throttled = throttled || n.available() && n.crowding[r].throttled(now, n.Weight)
 	}
 	return starting, throttled
 }
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -14,10 +14,11 @@
 type Decision struct {
 	At      time.Time
 	Flow    packet.Key
-	Outcome string // action taken
-	Cause   string // reason for the action
-	Peer    string // address of the other daemon involved, if any
-	Version uint64 // configuration version in force; 0 if it does not apply
+	Outcome string      // action taken
+	Cause   string      // reason for the action
+	Peer    string      // address of the other daemon involved, if any
+	Version uint64      // configuration version in force; 0 if it does not apply
+	Load    *fleet.Load // that the decision rests on; nil if it does not rest on the load
 }
 
 // Ring is a ring buffer of the most recent decisions. It is safe for concurrent use.
@@ -73,7 +74,7 @@
 	w.Header().Set("Content-Type", "application/x-ndjson")
 	enc := json.NewEncoder(w)
 	for _, d := range r.Find(flow) {
-		line := fleet.Decision{At: d.At, Flow: flow, Outcome: d.Outcome, Cause: d.Cause, Peer: d.Peer, Version: d.Version}
+		line := fleet.Decision{At: d.At, Flow: flow, Outcome: d.Outcome, Cause: d.Cause, Peer: d.Peer, Version: d.Version, Load: d.Load}
 		if enc.Encode(line) != nil {
 			return // the client closed the connection
 		}
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -3,15 +3,22 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"math"
+	"time"
 
 	"github.com/zeebo/xxh3"
 
 	"skylarkturn/internal/packet"
+	"skylarkturn/internal/route"
 )
 
-// Magic is the first byte of every tunnel datagram. No other datagram between
-// daemons starts with it.
-const Magic = 0xd1
+// Magic is the first byte of a tunnel datagram, and ClassMagic that of one whose header
+// has the class of the flow's requests. No other datagram between daemons starts with
+// them.
+const (
+	Magic      = 0xd1
+	ClassMagic = 0xd4
+)
 
 // Kind is the type of a tunnel datagram.
 type Kind uint8
@@ -37,10 +44,11 @@
 	NoHost                         // no host has registered
 	WrongService                   // the host runs another service
 	Unsure                         // the agent does not know; a packet of the flow must be forwarded to the host to find out
-	Crowded                        // the host has too many running and queued requests
+	Crowded                        // the host can't serve a request of the flow in time
+	Busy                           // requests wait for the host; only in reply to a class without Final
 )
 
-var reasonNames = [...]string{"unknown", "not_held", "full", "draining", "no_host", "wrong_service", "unsure", "crowded"}
+var reasonNames = [...]string{"unknown", "not_held", "full", "draining", "no_host", "wrong_service", "unsure", "crowded", "busy"}
 
 // NumReasons is the number of reasons, for arrays indexed by Reason.
 const NumReasons = len(reasonNames)
@@ -63,16 +71,25 @@
 // Kind, since they contain the flows.
 type Header struct {
 	Kind    Kind
-	Reason  Reason     // set if Kind is Refused
-	Service ServiceID  // service that a new flow was routed to; zero for a packet of an open flow
-	Flow    packet.Key // flow that the packet or the answer belongs to
+	Reason  Reason      // set if Kind is Refused
+	Service ServiceID   // service that a new flow was routed to; zero for a packet of an open flow
+	Flow    packet.Key  // flow that the packet or the answer belongs to
+	Class   route.Class // class of the flow's requests, if known; only for agents that accept it
+	Final   bool        // no less busy target is known for the new flow; encoded only with a class
 }
 
-// HeaderLen is the length in bytes of an encoded Header.
-const HeaderLen = 3 + 8 + packet.KeyLen
+const (
+	// HeaderLen is the length in bytes of an encoded Header without a class.
+	HeaderLen = 3 + 8 + packet.KeyLen
 
-// MaxLen is the size in bytes of the largest tunnel datagram.
-const MaxLen = HeaderLen + packet.MaxLen
+	classLen = 1 + 1 + 2 + 2 // bytes of an encoded class, with flags
+
+	// MaxLen is the size in bytes of the largest tunnel datagram.
+	MaxLen = HeaderLen + classLen + packet.MaxLen
+)
+
+// finalFlag is the bit of Header.Final in the flags of an encoded class.
+const finalFlag = 1
 
 // KindFormat is the Error kind of malformed tunnel datagrams.
 const KindFormat = "format"
@@ -92,18 +109,49 @@
 
 // Append appends a tunnel datagram to b. content is the packet, if there is one.
 func Append(b []byte, h Header, content []byte) []byte {
-	b = append(b, Magic, byte(h.Kind), byte(h.Reason))
+	magic := byte(Magic)
+	if h.Class.Known() {
+		magic = ClassMagic
+	}
+	b = append(b, magic, byte(h.Kind), byte(h.Reason))
 	b = binary.BigEndian.AppendUint64(b, uint64(h.Service))
 	b = h.Flow.Append(b)
+	if h.Class.Known() {
+		b = appendClass(b, h.Class, h.Final)
+	}
 	return append(b, content...)
 }
 
-// HasMagic reports whether b starts with the magic byte of tunnel datagrams.
-func HasMagic(b []byte) bool { return len(b) > 0 && b[0] == Magic }
+// appendClass appends an encoded class, with times in milliseconds.
+func appendClass(b []byte, c route.Class, final bool) []byte {
+	flags := byte(0)
+	if final {
+		flags = finalFlag
+	}
+	b = append(b, c.Priority, flags)
+	b = binary.BigEndian.AppendUint16(b, milliseconds(c.Objective))
+	return binary.BigEndian.AppendUint16(b, milliseconds(c.Timeout))
+}
+
+// milliseconds returns a time in milliseconds, at least 1 and at most 65,535.
+func milliseconds(d time.Duration) uint16 {
+	return uint16(min(max(d.Milliseconds(), 1), math.MaxUint16))
+}
+
+// decodeClass decodes what appendClass has appended.
+func decodeClass(b []byte) (c route.Class, final bool) {
+	c.Priority = b[0]
+	c.Objective = time.Duration(binary.BigEndian.Uint16(b[2:])) * time.Millisecond
+	c.Timeout = time.Duration(binary.BigEndian.Uint16(b[4:])) * time.Millisecond
+	return c, b[1]&finalFlag != 0
+}
+
+// HasMagic reports whether b starts with a magic byte of tunnel datagrams.
+func HasMagic(b []byte) bool { return len(b) > 0 && (b[0] == Magic || b[0] == ClassMagic) }
 
 // Decode decodes a tunnel datagram. content is a subslice of b.
 func Decode(b []byte) (h Header, content []byte, err error) {
-	if len(b) < HeaderLen || !HasMagic(b) {
+	if len(b) < HeaderLen || !HasMagic(b) || b[0] == ClassMagic && len(b) < HeaderLen+classLen {
 		return h, nil, &Error{"decode", KindFormat, fmt.Errorf("datagram of %d bytes is too short or lacks the magic byte", len(b))}
 	}
 	h.Kind, h.Reason = Kind(b[1]), Reason(b[2])
@@ -115,7 +163,15 @@
 	}
 	h.Service = ServiceID(binary.BigEndian.Uint64(b[3:]))
 	h.Flow = packet.DecodeKey(b[11:])
-	return h, b[HeaderLen:], nil
+	content = b[HeaderLen:]
+	if b[0] == ClassMagic {
+		h.Class, h.Final = decodeClass(content)
+		if !h.Class.Known() || content[1]&^finalFlag != 0 {
+			return h, nil, &Error{"decode", KindFormat, fmt.Errorf("invalid class %x", content[:classLen])}
+		}
+		content = content[classLen:]
+	}
+	return h, content, nil
 }
 
 // Question asks whether an agent's host holds a flow.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/go-quicktest/qt"
 
 	"skylarkturn/internal/packet"
+	"skylarkturn/internal/route"
 )
 
 var header = Header{
@@ -21,6 +23,37 @@
 	qt.Check(t, qt.Equals(string(content), "packet"))
 }
 
+// classHeader is the header of a packet that opens a flow, with the class of its requests.
+var classHeader = Header{
+	Kind: Deliver, Service: header.Service, Flow: header.Flow, Final: true,
+	Class: route.Class{Priority: 1, Objective: 250 * time.Millisecond, Timeout: 1500 * time.Millisecond},
+}
+
+func TestDecodeAppendedClass(t *testing.T) {
+	got, content, err := Decode(Append(nil, classHeader, []byte("packet")))
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.Equals(got, classHeader))
+	qt.Check(t, qt.Equals(string(content), "packet"))
+
+	h := classHeader
+	h.Class.Timeout = time.Hour // encoded as the longest time
+	got, _, err = Decode(Append(nil, h, nil))
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.Equals(got.Class.Timeout, 65535*time.Millisecond))
+}
+
+func TestDecodeMalformedClass(t *testing.T) {
+	for name, change := range map[string]func(b []byte) []byte{
+		"short":        func(b []byte) []byte { return b[:HeaderLen+classLen-1] },
+		"unknown flag": func(b []byte) []byte { b[HeaderLen+1] |= 2; return b },
+		"no objective": func(b []byte) []byte { b[HeaderLen+2], b[HeaderLen+3] = 0, 0; return b },
+		"no timeout":   func(b []byte) []byte { b[HeaderLen+4], b[HeaderLen+5] = 0, 0; return b },
+	} {
+		_, _, err := Decode(change(Append(nil, classHeader, nil)))
+		qt.Check(t, qt.IsNotNil(err), qt.Commentf("%s", name))
+	}
+}
+
 func TestDecodeMalformed(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -41,6 +74,7 @@
 
 func FuzzDecode(f *testing.F) {
 	f.Add(Append(nil, header, []byte("packet")))
+	f.Add(Append(nil, classHeader, []byte("packet")))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		h, content, err := Decode(b)
 		if err != nil {
