--- a/internal/flowtable/accounting_test.go
+++ b/internal/flowtable/accounting_test.go
@@ -85,8 +85,8 @@
 		}
 	}
 	q := table.admission
-	if q.Busy() != inProgress || q.Queued() != waiting || len(table.heldFlows) != waiting {
-		t.Fatalf("queue has %d in progress and %d waiting (%d tickets), flows have %d and %d", q.Busy(), q.Queued(), len(table.heldFlows), inProgress, waiting)
+	if q.Busy() != inProgress || q.Queued() != waiting || len(table.held) != waiting {
+		t.Fatalf("queue has %d in progress and %d waiting (%d tickets), flows have %d and %d", q.Busy(), q.Queued(), len(table.held), inProgress, waiting)
 	}
 	if waiting > 0 && inProgress < maxInProgress(slots) {
 		t.Fatalf("%d requests wait although %d of %d are in progress", waiting, inProgress, maxInProgress(slots))
--- a/internal/flowtable/action.go
+++ b/internal/flowtable/action.go
@@ -60,7 +60,7 @@
 	Packet    []byte         // packet to forward, or to return with a Reply
 	ClientAck uint32         // client's last acknowledgement number, for Reset
 	Waited    time.Duration  // time for which the packet was held, if Cause is Released
-	Load      Load           // that the decision rests on, if it rests on the load
+	Load      *Load          // that the decision rests on; nil if it does not rest on the load
 }
 
 // Load is the load of a host when a request or a new flow was held or refused.
--- a/internal/flowtable/bench_test.go
+++ b/internal/flowtable/bench_test.go
@@ -1,12 +1,14 @@
 package flowtable
 
 import (
+	"fmt"
 	"net/netip"
 	"runtime"
 	"testing"
 	"time"
 
 	"skylarkturn/internal/packet"
+	"skylarkturn/internal/route"
 	"skylarkturn/internal/tunnel"
 )
 
@@ -70,3 +72,43 @@
 		out = t.HandleInbound(now, from, &h, &p, nil, out[:0])
 	}
 }
+
+// BenchmarkAdmission measures a request and its answer at a host whose slots are taken
+// while the given number of other requests are held.
+func BenchmarkAdmission(b *testing.B) {
+	for _, waiting := range []int{0, 10, 100} {
+		b.Run(fmt.Sprint(waiting, " held"), func(b *testing.B) { benchmarkAdmission(b, waiting) })
+	}
+}
+
+func benchmarkAdmission(b *testing.B, waiting int) {
+	const slots = 4
+	now := time.Unix(1_800_000_000, 0)
+	t := New(now, time.Second, true)
+	t.HandleReport(now, Report{ID: "h1", StartTime: 1, Seq: 1, Service: "bookdesk", State: HostReady, Slots: slots}, nil)
+	from := netip.MustParseAddrPort("10.1.0.1:7400")
+	h := tunnel.Header{
+		Kind: tunnel.Deliver, Service: tunnel.ServiceIDOf("bookdesk"), Final: true,
+		Class: route.Class{Priority: 1, Objective: time.Hour, Timeout: 2 * time.Hour},
+	}
+	raw := make([]byte, 900)
+	flows := waiting + maxInProgress(slots)
+	var out []Action
+	request := func(i int, seq uint32) {
+		k := testKey(i)
+		out = t.HandleInbound(now, from, &h, &packet.Header{Flags: packet.ACK, Src: k.Client, Dst: k.Route, Ack: 101, Seq: seq, DataLen: 900}, raw, out[:0])
+	}
+	for i := range flows {
+		k := testKey(i)
+		out = t.HandleInbound(now, from, &h, &packet.Header{Flags: packet.SYN, Src: k.Client, Dst: k.Route}, nil, out[:0])
+		out = t.HandleOutbound(now, &packet.Header{Flags: packet.SYN | packet.ACK, Src: k.Route, Dst: k.Client, Seq: 100}, nil, out[:0])
+		request(i, 0)
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ { // the oldest request is answered, and its client sends the next one
+		i, seq := n%flows, uint32(n/flows)*900
+		k := testKey(i)
+		out = t.HandleOutbound(now, &packet.Header{Flags: packet.ACK, Src: k.Route, Dst: k.Client, Ack: seq + 900, DataLen: 100}, nil, out[:0])
+		request(i, seq+900)
+	}
+}
--- a/internal/flowtable/outbound.go
+++ b/internal/flowtable/outbound.go
@@ -9,13 +9,9 @@
 
 // HandleOutbound handles a packet from the host.
 func (t *Table) HandleOutbound(now time.Time, p *packet.Header, raw []byte, out []Action) []Action {
-	return t.forwardStarted(now, t.handleOutbound(now, p, raw, out))
-}
-
-func (t *Table) handleOutbound(now time.Time, p *packet.Header, raw []byte, out []Action) []Action {
 	t.unanswered = unansweredPackets{}
 	if p.Flags.Has(packet.Bounced) {
-		return t.handleBounced(now, p, raw, out)
+		return t.forwardStarted(now, t.handleBounced(now, p, raw, out))
 	}
 	k := p.KeyFromHost()
 	f := t.flows[k]
@@ -25,7 +21,11 @@
 	if f != nil {
 		out = t.updateFromHost(now, k, f, p, out)
 	}
-	return append(out, Action{Op: ToClient, Cause: Usual, Flow: k, Packet: raw})
+	out = append(out, Action{Op: ToClient, Cause: Usual, Flow: k, Packet: raw})
+	if len(t.started) > 0 {
+		out = t.forwardStarted(now, out)
+	}
+	return out
 }
 
 // learnFlow adds a flow that an incomplete table does not contain yet, from a
--- a/internal/flowtable/overload.go
+++ b/internal/flowtable/overload.go
@@ -81,8 +81,8 @@
 }
 
 // load returns the load that decisions on flows of a route rest on.
-func (t *Table) load(r *routeState) Load {
-	return Load{
+func (t *Table) load(r *routeState) *Load {
+	return &Load{
 		InProgress: t.admission.Busy(), Held: t.admission.Queued(),
 		Wait: t.expectedWait(r), Objective: r.class.Objective,
 	}
--- a/internal/flowtable/request.go
+++ b/internal/flowtable/request.go
@@ -28,7 +28,7 @@
 
 // update sets the class of the route if it is known.
 func (r *routeState) update(c route.Class) {
-	if c.Known() {
+	if c != r.class && c.Known() {
 		r.class = c
 	}
 }
@@ -53,9 +53,7 @@
 type request struct {
 	stage       stage
 	ticket      admission.Ticket // while held
-	packets     []heldPacket     // while held
-	heldAt      time.Time        // while held
-	forwardedAt time.Time        // while running
+	forwardedAt time.Duration    // while running, on the table's clock
 }
 
 type stage uint8
@@ -66,7 +64,13 @@
 	running               // forwarded to the host
 )
 
-// heldPacket is a packet of a held request.
+// heldRequest is a request that is held back, with its packets.
+type heldRequest struct {
+	flow    packet.Key
+	packets []heldPacket
+	heldAt  time.Time
+}
+
 type heldPacket struct {
 	seq uint32
 	raw []byte
@@ -75,31 +79,32 @@
 // clock returns a time as the admission queue has it.
 func (t *Table) clock(now time.Time) time.Duration { return now.Sub(t.startedAt) }
 
-// admitRequest handles a packet with data of a client, which starts or continues a
-// request. It reports whether the packet is to be forwarded to the host; otherwise it is
+// admitRequest handles a packet with data of a client, which starts a request or continues
+// a held one. It reports whether the packet is to be forwarded to the host; otherwise it is
 // held. Requests of no known class are never held.
 func (t *Table) admitRequest(now time.Time, k packet.Key, f *flow, p *packet.Header, raw []byte) (forward bool) {
 	r := &f.request
 	switch {
-	case f.state == closed || r.stage == running:
+	case f.state == closed:
 		return true
 	case r.stage == held:
-		r.hold(p.Seq, raw)
+		t.held[r.ticket].hold(p.Seq, raw)
 		return false
 	}
 	if !f.route.class.Known() {
 		t.admission.ForceStart(f.route.id)
-		r.stage, r.forwardedAt = running, now
+		*r = request{stage: running, forwardedAt: t.clock(now)}
 		return true
 	}
 	t.lastTicket++
 	if t.admission.Enqueue(t.newRequest(now, f.route)) == admission.Start {
-		r.stage, r.forwardedAt = running, now
+		*r = request{stage: running, forwardedAt: t.clock(now)}
 		return true
 	}
-	r.stage, r.ticket, r.heldAt = held, t.lastTicket, now
-	t.heldFlows[r.ticket] = k
-	r.hold(p.Seq, raw)
+	*r = request{stage: held, ticket: t.lastTicket}
+	h := &heldRequest{flow: k, heldAt: now}
+	h.hold(p.Seq, raw)
+	t.held[r.ticket] = h
 	return false
 }
 
@@ -114,17 +119,17 @@
 }
 
 // hold keeps a packet unless it is a copy of a held one.
-func (r *request) hold(seq uint32, raw []byte) {
-	isCopy := slices.ContainsFunc(r.packets, func(h heldPacket) bool { return h.seq == seq })
-	if !isCopy && len(r.packets) < maxHeldPackets {
-		r.packets = append(r.packets, heldPacket{seq, slices.Clone(raw)})
+func (h *heldRequest) hold(seq uint32, raw []byte) {
+	isCopy := slices.ContainsFunc(h.packets, func(p heldPacket) bool { return p.seq == seq })
+	if !isCopy && len(h.packets) < maxHeldPackets {
+		h.packets = append(h.packets, heldPacket{seq, slices.Clone(raw)})
 	}
 }
 
 // recordWork records the time that the host took for the request of a flow.
 func (t *Table) recordWork(now time.Time, f *flow) {
 	if f.request.stage == running {
-		t.admission.RecordWork(f.route.id, now.Sub(f.request.forwardedAt))
+		t.admission.RecordWork(f.route.id, t.clock(now)-f.request.forwardedAt)
 	}
 }
 
@@ -135,7 +140,7 @@
 	case running:
 		t.started = append(t.started, t.admission.Release(t.clock(now), f.route.id)...)
 	case held:
-		delete(t.heldFlows, r.ticket)
+		delete(t.held, r.ticket)
 		if t.admission.Cancel(r.ticket) {
 			break
 		}
@@ -148,13 +153,12 @@
 // forwardStarted forwards the held requests that have got a slot.
 func (t *Table) forwardStarted(now time.Time, out []Action) []Action {
 	for _, ticket := range t.started {
-		k := t.heldFlows[ticket]
-		delete(t.heldFlows, ticket)
-		f := t.flows[k]
-		for _, p := range f.request.packets {
-			out = append(out, Action{Op: ToHost, Cause: Released, Flow: k, Packet: p.raw, Waited: now.Sub(f.request.heldAt)})
+		h := t.held[ticket]
+		delete(t.held, ticket)
+		t.flows[h.flow].request = request{stage: running, forwardedAt: t.clock(now)}
+		for _, p := range h.packets {
+			out = append(out, Action{Op: ToHost, Cause: Released, Flow: h.flow, Packet: p.raw, Waited: now.Sub(h.heldAt)})
 		}
-		f.request = request{stage: running, forwardedAt: now}
 	}
 	t.started = t.started[:0]
 	return out
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -71,9 +71,9 @@
 	previous          Snapshot                       // written by an earlier agent process
 	previousHostEnded bool                           // the host of the previous snapshot is known to have ended
 	routes            map[packet.Endpoint]*routeState
-	admission         *admission.Queue                // of the host
-	heldFlows         map[admission.Ticket]packet.Key // flows whose request is held back
-	started           []admission.Ticket              // requests that have got a slot and are not forwarded yet
+	admission         *admission.Queue // of the host
+	held              map[admission.Ticket]*heldRequest
+	started           []admission.Ticket // requests that have got a slot and are not forwarded yet
 	lastTicket        admission.Ticket
 	pendingOpens      []time.Time // when each flow that is not open yet was forwarded to the host, oldest first
 	activeFlows       int         // flows that are open or half open
@@ -91,7 +91,7 @@
 		flows:          make(map[packet.Key]*flow),
 		questions:      make(map[packet.Key]pendingQuestion),
 		routes:         make(map[packet.Endpoint]*routeState),
-		heldFlows:      make(map[admission.Ticket]packet.Key),
+		held:           make(map[admission.Ticket]*heldRequest),
 		admission:      admission.NewQueue(admission.Limits{Slots: maxInProgress(defaultSlots), Queue: maxHeldRequests}),
 	}
 }
@@ -115,10 +115,6 @@
 
 // HandleInbound handles a client packet that a balancer forwarded.
 func (t *Table) HandleInbound(now time.Time, from netip.AddrPort, h *tunnel.Header, p *packet.Header, raw []byte, out []Action) []Action {
-	return t.forwardStarted(now, t.handleInbound(now, from, h, p, raw, out))
-}
-
-func (t *Table) handleInbound(now time.Time, from netip.AddrPort, h *tunnel.Header, p *packet.Header, raw []byte, out []Action) []Action {
 	k := p.KeyFromClient()
 	f := t.flows[k]
 	if p.Opens() {
@@ -144,6 +140,9 @@
 	if h.Kind == tunnel.Ask {
 		out = append(out, ownedReply(k, from))
 	}
+	if len(t.started) > 0 {
+		out = t.forwardStarted(now, out)
+	}
 	return out
 }
 
@@ -185,7 +184,8 @@
 		t.pendingOpens = append(t.pendingOpens, now)
 	}
 	f.balancer, f.lastPacketAt = from, now
-	return append(out, Action{Op: ToHost, Cause: Usual, Flow: k, Packet: raw})
+	out = append(out, Action{Op: ToHost, Cause: Usual, Flow: k, Packet: raw})
+	return t.forwardStarted(now, out)
 }
 
 // handleUnknown handles a packet of a flow that is not in the table.
@@ -211,7 +211,7 @@
 	if p.Flags.Has(packet.ACK) {
 		f.clientAck = p.Ack
 	}
-	if p.DataLen > 0 && !f.isRetransmission(p) {
+	if p.DataLen > 0 && f.request.stage != running && !f.isRetransmission(p) {
 		forward = t.admitRequest(now, k, f, p, raw)
 	}
 	if p.Flags.Has(packet.FIN) {
--- a/internal/packetagent/forward.go
+++ b/internal/packetagent/forward.go
@@ -154,8 +154,8 @@
 
 // loadOf returns the load that an action rests on, or nil.
 func loadOf(action *flowtable.Action) *fleet.Load {
-	l := &action.Load
-	if *l == (flowtable.Load{}) {
+	l := action.Load
+	if l == nil {
 		return nil
 	}
 	return &fleet.Load{InProgress: l.InProgress, Held: l.Held, WaitMS: milliseconds(l.Wait), ObjectiveMS: milliseconds(l.Objective)}
--- a/internal/steering/place.go
+++ b/internal/steering/place.go
@@ -7,18 +7,20 @@
 	"time"
 
 	"skylarkturn/internal/packet"
+	"skylarkturn/internal/route"
 	"skylarkturn/internal/tunnel"
 )
 
 // handleOpen handles a packet that opens a flow. A newer retransmission goes to
 // another target unless the first one has confirmed the flow.
 func (t *Table) handleOpen(now time.Time, k packet.Key, f *flow, h *packet.Header, raw []byte, out []Action) []Action {
-	if t.routes != nil && t.routes.Lookup(k.Route) == nil {
+	r := t.routes.Lookup(k.Route)
+	if t.routes != nil && r == nil {
 		return append(out, Action{Op: Reset, Cause: NoRoute, Flow: k, ClientAck: h.Ack})
 	}
 	if f == nil {
-		f = t.addFlow(now, k)
-		return t.place(now, k, f, h.Ack, raw, out)
+		f = t.addFlow(now, k, r)
+		return t.place(now, k, r, f, h.Ack, raw, out)
 	}
 	if f.queuedOpen != nil {
 		return append(out, Action{Op: Drop, Cause: Waiting, Flow: k})
@@ -38,13 +40,14 @@
 	case f.owner.IsValid():
 		f.tried = append(f.tried, f.owner)
 	}
-	return t.place(now, k, f, h.Ack, raw, out)
+	return t.place(now, k, r, f, h.Ack, raw, out)
 }
 
-// place places a new flow on a target that it has not been tried on.
-func (t *Table) place(now time.Time, k packet.Key, f *flow, clientAck uint32, raw []byte, out []Action) []Action {
+// place places a new flow of a route on a target that it has not been tried on. The route
+// is nil while there is no configuration.
+func (t *Table) place(now time.Time, k packet.Key, r *route.Route, f *flow, clientAck uint32, raw []byte, out []Action) []Action {
 	f.owner, f.confirmed = netip.AddrPort{}, false
-	if t.routes == nil {
+	if r == nil {
 		return append(out, t.queueOpen(now, k, f, raw))
 	}
 	if f.crowded && now.Sub(f.firstSeen) >= f.longestWait() {
@@ -52,11 +55,11 @@
 		return append(out, Action{Op: Reset, Cause: AllRefused, Flow: k, ClientAck: clientAck})
 	}
 	hash := k.Hash()
-	service, ok := t.routes.Lookup(k.Route).Service(hash)
+	service, ok := r.Service(hash)
 	if !ok {
 		return append(out, Action{Op: Reset, Cause: NoTarget, Flow: k, ClientAck: clientAck})
 	}
-	best, final := t.services[service].choose(now, k, f)
+	best, final := t.services[service].choose(now, hash, k.Route, f)
 	if best == nil {
 		return append(out, t.queueOrRefuse(now, k, f, service, clientAck, raw))
 	}
@@ -76,17 +79,21 @@
 
 // choose returns the target to place a flow on, or nil, and whether no less busy target
 // is known. Targets where requests wait are only chosen if there is no other one.
-func (g *targetGroup) choose(now time.Time, k packet.Key, f *flow) (best *target, final bool) {
-	hash := k.Hash()
-	accepting := func(n *target) bool {
-		return n.available() && !n.crowding[k.Route].throttled(now, n.Weight) && !slices.Contains(f.tried, n.Agent)
-	}
-	ranked := g.rank(hash, func(n *target) bool { return !n.crowding[k.Route].busy(now) && accepting(n) })
-	if ranked.n > 0 {
-		return ranked.leastLoaded(), ranked.n == 1
-	}
-	ranked = g.rank(hash, accepting)
-	return ranked.leastLoaded(), true
+func (g *targetGroup) choose(now time.Time, hash uint64, r packet.Endpoint, f *flow) (best *target, final bool) {
+	anyBusy := false
+	ranked := g.rank(hash, func(n *target) bool {
+		busy, throttled := n.crowded(now, r)
+		anyBusy = anyBusy || busy
+		return !busy && !throttled && n.available() && !slices.Contains(f.tried, n.Agent)
+	})
+	if ranked.n == 0 && anyBusy {
+		ranked = g.rank(hash, func(n *target) bool {
+			_, throttled := n.crowded(now, r)
+			return !throttled && n.available() && !slices.Contains(f.tried, n.Agent)
+		})
+		return ranked.leastLoaded(), true
+	}
+	return ranked.leastLoaded(), ranked.n == 1
 }
 
 // queueOrRefuse queues a new flow without an available target when one may accept
@@ -153,11 +160,12 @@
 	if now.Sub(f.firstSeen) >= openTimeout {
 		return out
 	}
-	if t.routes != nil && t.routes.Lookup(k.Route) == nil {
+	r := t.routes.Lookup(k.Route)
+	if t.routes != nil && r == nil {
 		return append(out, Action{Op: Reset, Cause: NoRoute, Flow: k})
 	}
 	before := len(out)
-	out = t.place(now, k, f, f.retransmission, raw, out)
+	out = t.place(now, k, r, f, f.retransmission, raw, out)
 	if f.queuedOpen != nil {
 		return out[:before] // the drop was reported when the packet was queued
 	}
@@ -179,11 +187,12 @@
 	case n != nil && h.Reason != tunnel.Full:
 		n.refusing = true
 	}
-	if f.owner != from || t.routes.Lookup(h.Flow.Route) == nil {
+	r := t.routes.Lookup(h.Flow.Route)
+	if f.owner != from || r == nil {
 		return out
 	}
 	if !loaded {
 		f.tried = append(f.tried, from)
 	}
-	return t.place(now, h.Flow, f, p.Ack, raw, out)
+	return t.place(now, h.Flow, r, f, p.Ack, raw, out)
 }
--- a/internal/steering/storm_test.go
+++ b/internal/steering/storm_test.go
@@ -74,7 +74,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				k.Client.Port++
-				out = r.table.place(now, k, f, 0, raw, out[:0])
+				out = r.table.place(now, k, r.table.routes.Lookup(k.Route), f, 0, raw, out[:0])
 			}
 		})
 	}
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -199,11 +199,12 @@
 	if f != nil && now.Sub(f.lostAt) < lostFlowResetPeriod {
 		return append(out, Action{Op: Reset, Cause: Lost, Flow: k, ClientAck: h.Ack})
 	}
-	if f == nil && t.routes != nil && t.routes.Lookup(k.Route) == nil {
-		return append(out, Action{Op: Drop, Cause: NoRoute, Flow: k})
-	}
 	if f == nil {
-		f = t.addFlow(now, k)
+		r := t.routes.Lookup(k.Route)
+		if t.routes != nil && r == nil {
+			return append(out, Action{Op: Drop, Cause: NoRoute, Flow: k})
+		}
+		f = t.addFlow(now, k, r)
 		f.established, f.clientAck = true, h.Ack
 	}
 	f.owner, f.confirmed = netip.AddrPort{}, false
@@ -241,7 +242,7 @@
 func (t *Table) handleOwned(now time.Time, from netip.AddrPort, k packet.Key, out []Action) []Action {
 	f := t.flows[k]
 	if f == nil {
-		f = t.addFlow(now, k)
+		f = t.addFlow(now, k, t.routes.Lookup(k.Route))
 	}
 	if n := t.targets[from]; n != nil && !f.confirmed && f.owner == from {
 		t.recordAcceptance(now, n, k.Route)
@@ -281,9 +282,9 @@
 	return out
 }
 
-// addFlow adds a flow to the cache, in place of a random one when the cache is
-// full.
-func (t *Table) addFlow(now time.Time, k packet.Key) *flow {
+// addFlow adds a flow of a route, nil if it is unknown, to the cache, in place of a
+// random one when the cache is full.
+func (t *Table) addFlow(now time.Time, k packet.Key, r *route.Route) *flow {
 	if len(t.flows) >= maxFlows {
 		for victim := range t.flows { // map iteration order makes a random choice
 			t.removeFlow(victim)
@@ -292,7 +293,7 @@
 		}
 	}
 	f := &flow{firstSeen: now, lastUsed: now}
-	if r := t.routes.Lookup(k.Route); r != nil {
+	if r != nil {
 		f.class = r.Class
 	}
 	t.flows[k] = f
--- a/internal/steering/throttle.go
+++ b/internal/steering/throttle.go
@@ -40,6 +40,16 @@
 	}
 }
 
+// crowded reports whether the target is busy, and whether it is throttled, for flows of
+// a route.
+func (t *target) crowded(now time.Time, r packet.Endpoint) (busy, throttled bool) {
+	if len(t.crowding) == 0 {
+		return false, false
+	}
+	c := t.crowding[r]
+	return c.busy(now), c.throttled(now, t.Weight)
+}
+
 // busy reports whether flows are to be placed on other targets, if possible. A nil
 // pointer is not busy.
 func (c *crowding) busy(now time.Time) bool { return c != nil && now.Before(c.busyUntil) }
