A balancer that has just started makes no plan until it knows all members

Cause: a plan rested on whatever members a balancer had heard of. Shown by TestNewBalancerDoesNotDenyTargets: on a balancer that had just been added answered a plan to drain one of 8 targets with a plan that knew none of them. With some of them known, the answer is the one that ended the README's demo: "target, host or zone is not known".

Ruled out: a configuration that was not known yet; the service is read from the platform then.

Change: roster.Completeness, as the other path has it: a balancer is complete when it has the members of a complete peer, or by time where there is none. Until then the answer is 503 not_ready with Retry-After; the client asks the other balancers and then waits as long as its context allows. A plan names its view. The agent's QUIC socket takes buffer sizes, so quic-go's warning is gone.

--- a/cmd/skylarkctl/commands.go
+++ b/cmd/skylarkctl/commands.go
@@ -98,6 +98,7 @@
 	for _, warning := range p.Warnings {
 		fmt.Println("warning:", warning)
 	}
+	fmt.Println(formatView(&p.View))
 	if len(p.Shares) == 0 {
 		return nil
 	}
@@ -108,6 +109,15 @@
 	})
 }
 
+// formatView says which members a plan rests on.
+func formatView(v *plan.View) string {
+	text := fmt.Sprintf("made by %s, which knows %d targets of the service", v.Balancer, v.Targets)
+	if !v.Complete {
+		text += " and may not have heard of all yet"
+	}
+	return text
+}
+
 type declareCmd struct {
 	File string `arg:"" help:"TOML file that declares the service." type:"existingfile"`
 	planOutput
--- a/cmd/skylarkctl/main.go
+++ b/cmd/skylarkctl/main.go
@@ -116,7 +116,7 @@
 		return exitNotInForce
 	case errors.As(err, &p) && p.Title == admin.KindOutcomeUnknown:
 		return exitUnknown
-	case errors.As(err, &p) && p.Title == admin.KindUnavailable:
+	case errors.As(err, &p) && (p.Title == admin.KindUnavailable || p.Title == admin.KindNotReady):
 		return exitUnavailable
 	case errors.As(err, &p):
 		return exitRefused
--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -25,6 +25,7 @@
 	KindForbidden      = "forbidden"
 	KindConflict       = "conflict"
 	KindUnavailable    = "unavailable"
+	KindNotReady       = "not_ready"       // the balancer has just started; another one may answer
 	KindOutcomeUnknown = "outcome_unknown" // the change may or may not have taken effect
 )
 
@@ -48,7 +49,8 @@
 	CatalogServices() []service.Service
 	Members() []roster.Member
 	ApplyService(s service.Service)
-	CheckedAt() time.Time // last time that the configuration was known to match the platform, zero if never
+	MembersComplete() bool // whether the balancer knows all members
+	CheckedAt() time.Time  // last time that the configuration was known to match the platform, zero if never
 	InForce(ctx context.Context, number uint16, generation uint32) []BalancerStatus
 	ExplainID(id []byte) (Explanation, error)
 }
@@ -227,7 +229,25 @@
 			return nil, err
 		}
 	}
-	return plan.Make(current, draft, h.liveAgents(draft.Number), h.planKey)
+	return h.makePlan(current, draft)
+}
+
+// makePlan returns the plan for a draft. A plan for an existing service needs all
+// members: it would otherwise lack targets, or refuse rules for them. A new service may
+// have none yet.
+func (h *Handler) makePlan(current *service.Service, draft service.Service) (*plan.Plan, error) {
+	view := plan.View{Balancer: h.backend.Name(), Complete: h.backend.MembersComplete()}
+	if current != nil && !view.Complete {
+		return nil, &Error{"make plan", KindNotReady, errors.New("this balancer has just started and does not know all members yet; try again")}
+	}
+	agents := h.liveAgents(draft.Number)
+	p, err := plan.Make(current, draft, agents, h.planKey)
+	if err != nil {
+		return nil, err
+	}
+	view.Targets = len(agents)
+	p.View = view
+	return p, nil
 }
 
 // findService returns the confirmed service with the name, or nil if there is none.
--- a/internal/admin/client.go
+++ b/internal/admin/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 	"time"
 
 	"skylarkturn/internal/plan"
@@ -21,6 +22,7 @@
 const (
 	requestTimeout      = 15 * time.Second
 	tlsHandshakeTimeout = 2 * time.Second
+	minRetryDelay       = 200 * time.Millisecond // of a balancer that is not ready
 )
 
 // Client calls the administration API. It tries its balancers in order until one
@@ -108,13 +110,15 @@
 	Title  string `json:"title"` // kind of the error
 	Status int    `json:"status"`
 	Detail string `json:"detail"`
+
+	retryAfter time.Duration // if Title is KindNotReady
 }
 
 // Error returns the kind and the detail.
 func (p *Problem) Error() string { return p.Title + ": " + p.Detail }
 
-// call tries the balancers in order until one answers with anything but
-// KindUnavailable. Trying another one is safe, since every call can be repeated.
+// call tries the balancers until one answers. While balancers are not ready, it waits for
+// the time that they ask for and tries again, as long as ctx allows.
 func (c *Client) call(ctx context.Context, method, path string, body, v any) error {
 	var encoded []byte
 	if body != nil {
@@ -123,19 +127,42 @@
 			return &Error{"encode", KindInvalid, err}
 		}
 	}
+	for {
+		retryAfter, err := c.callAny(ctx, method, path, encoded, v)
+		if retryAfter == 0 {
+			return err
+		}
+		timer := time.NewTimer(retryAfter)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return err
+		case <-timer.C:
+		}
+	}
+}
+
+// callAny tries the balancers in order until one answers with anything but
+// KindUnavailable or KindNotReady. Trying another one is safe, since every call can be
+// repeated. If one was not ready and none answered, it returns the time to wait before
+// the next attempt.
+func (c *Client) callAny(ctx context.Context, method, path string, body []byte, v any) (retryAfter time.Duration, err error) {
 	var failed []error
 	for _, server := range c.servers {
-		err := c.callOne(ctx, method, "https://"+server+path, encoded, v)
+		err := c.callOne(ctx, method, "https://"+server+path, body, v)
 		var p *Problem
-		if err == nil || errors.As(err, &p) && p.Title != KindUnavailable {
-			return err
+		if err == nil || errors.As(err, &p) && p.Title != KindUnavailable && p.Title != KindNotReady {
+			return 0, err
 		}
-		if p != nil && len(c.servers) == 1 {
-			return err
+		if p != nil {
+			retryAfter = max(retryAfter, p.retryAfter)
 		}
 		failed = append(failed, err)
 	}
-	return &Error{"call", KindUnavailable, errors.Join(failed...)}
+	if p := (*Problem)(nil); len(failed) == 1 && errors.As(failed[0], &p) {
+		return retryAfter, p
+	}
+	return retryAfter, &Error{"call", KindUnavailable, errors.Join(failed...)}
 }
 
 func (c *Client) callOne(ctx context.Context, method, url string, body []byte, v any) error {
@@ -157,5 +184,9 @@
 	}
 	p := &Problem{Title: resp.Status, Status: resp.StatusCode, Detail: string(answer)}
 	_ = json.Unmarshal(answer, p) // if the response is not a problem document, Detail keeps its text
+	if p.Title == KindNotReady {
+		seconds, _ := strconv.Atoi(resp.Header.Get("Retry-After")) // 0 if the field is absent
+		p.retryAfter = max(time.Duration(seconds)*time.Second, minRetryDelay)
+	}
 	return p
 }
--- a/internal/admin/confirm.go
+++ b/internal/admin/confirm.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strconv"
 	"time"
 
 	"skylarkturn/internal/plan"
@@ -17,6 +18,7 @@
 const (
 	serviceKind         = "service"
 	claimKind           = "claim"
+	notReadyRetryDelay  = time.Second // balancers learn of all members within seconds
 	maxReadBackAttempts = 4
 	readBackRetryDelay  = 250 * time.Millisecond
 )
@@ -217,6 +219,9 @@
 		p.Status = httpStatus(adminErr.Kind)
 	}
 	p.Type = "urn:skylarkturn:problem:" + p.Title
+	if p.Title == KindNotReady {
+		w.Header().Set("Retry-After", strconv.Itoa(int(notReadyRetryDelay/time.Second)))
+	}
 	w.Header().Set("Content-Type", "application/problem+json")
 	w.WriteHeader(p.Status)
 	_ = json.NewEncoder(w).Encode(p) // fails only if the client has disconnected
--- a/internal/agent/conn.go
+++ b/internal/agent/conn.go
@@ -342,6 +342,13 @@
 // LocalAddr returns the inner address of the agent.
 func (c *conn) LocalAddr() net.Addr { return c.udp.LocalAddr() }
 
+// SetReadBuffer sets the size of the receive buffer of the UDP socket that carries the
+// frames. The QUIC server calls it.
+func (c *conn) SetReadBuffer(n int) error { return c.udp.SetReadBuffer(n) }
+
+// SetWriteBuffer is like SetReadBuffer for the send buffer.
+func (c *conn) SetWriteBuffer(n int) error { return c.udp.SetWriteBuffer(n) }
+
 // SetDeadline sets the read deadline; writes never block.
 func (c *conn) SetDeadline(t time.Time) error { return c.SetReadDeadline(t) }
 
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -52,6 +52,7 @@
 	mu                sync.Mutex    // guards the fields below; the channels need no lock
 	selfRecord        roster.Member // this balancer's record as gossiped
 	members           *roster.Roster
+	completeness      *roster.Completeness
 	catalog           *service.Catalog
 	unsentGenerations map[uint16]int // transmissions left for new generations, by service number
 	checkedAt         time.Time      // last time that the catalog was known to match the platform
@@ -124,6 +125,7 @@
 		Incarnation: uint64(now.UnixNano()),
 		Seq:         1,
 	}
+	b.completeness = roster.NewCompleteness(now)
 	b.members = roster.New(roster.DefaultTiming, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	b.members.Apply(now, b.selfRecord)
 	b.rebuildTable()
--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -128,6 +128,7 @@
 		Digest:         b.members.Digest(),
 		ConfigDigest:   b.catalog.Digest(),
 		CheckAgeMillis: b.checkedAgeMillis(now),
+		Settled:        b.completeness.Complete(now),
 	}
 }
 
@@ -261,6 +262,7 @@
 	}
 	b.fetchNewerServices(m)
 	b.updateCheckedAt(now, m)
+	b.completeness.RecordGossip(m.Settled, m.Digest == b.members.Digest())
 	if m.NoReply {
 		return nil
 	}
--- a/internal/balancer/operators.go
+++ b/internal/balancer/operators.go
@@ -47,6 +47,13 @@
 // ApplyService applies a service that the platform has accepted.
 func (b *Balancer) ApplyService(s service.Service) { b.applyService(s) }
 
+// MembersComplete reports whether the balancer knows all members.
+func (b *Balancer) MembersComplete() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.completeness.Complete(time.Now())
+}
+
 // CheckedAt returns the last time that the configuration was known to match the
 // platform, or the zero time if it never was.
 func (b *Balancer) CheckedAt() time.Time {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -44,9 +44,17 @@
 	Shares   []Share         `json:"shares"`
 	Sessions uint32          `json:"moving_sessions"` // open sessions on targets that start draining
 	Warnings []string        `json:"warnings,omitempty"`
+	View     View            `json:"view"`
 	Seal     string          `json:"seal"` // HMAC-SHA256 of ID, proves that a balancer made the plan
 }
 
+// View describes the members that a plan rests on.
+type View struct {
+	Balancer string `json:"balancer"` // that made the plan
+	Targets  int    `json:"targets"`  // of the service that the balancer knows
+	Complete bool   `json:"complete"` // the balancer knows all members
+}
+
 // Step is a change that takes effect once the plan is confirmed.
 type Step struct {
 	Action string `json:"action"` // create, drain, activate, share or settings
--- a/internal/standin/operators_test.go
+++ b/internal/standin/operators_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"path/filepath"
@@ -248,3 +249,21 @@
 		}
 	}
 }
+
+// TestNewBalancerDoesNotDenyTargets checks that a balancer which has just started plans
+// only once it knows all targets: plans for each of them succeed.
+func TestNewBalancerDoesNotDenyTargets(t *testing.T) {
+	const targets = 8
+	d := newOperatorTest(t, 2, targets)
+	for range 2 {
+		b, err := d.AddBalancer()
+		qt.Assert(t, qt.IsNil(err))
+		client := d.operator.ForServer(b.AdminAddr)
+		for i := range targets {
+			draft := d.drainDraft(fmt.Sprintf("bookdesk-%d", i+1))
+			p, err := client.Plan(d.ctx, draft)
+			qt.Assert(t, qt.IsNil(err))
+			qt.Check(t, qt.HasLen(p.Shares, targets))
+		}
+	}
+}
