A target whose heartbeats are overdue exists for plans

Cause: plans left out agents in the state suspect, so draining one was refused as "target, host or zone is not known".

Shown by TestSilentTargetCanBeDrained, which failed with just that message for a frozen agent.

Change: plans know agents up to suspect, warn of those, and do not count them as accepting work.

After: the test passes.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -195,9 +195,11 @@
 	return h.visibleService(r, op)
 }
 
-func (h *Handler) liveAgents(number uint16) []roster.Member {
+// agents returns the agents of a service that are not known to have ended. Those whose
+// heartbeats are overdue are among them, since they may be slow.
+func (h *Handler) agents(number uint16) []roster.Member {
 	return slices.DeleteFunc(h.backend.Members(), func(m roster.Member) bool {
-		return m.Role != roster.Agent || m.Service != number || !roster.Live(&m)
+		return m.Role != roster.Agent || m.Service != number || m.State > roster.Suspect
 	})
 }
 
@@ -240,7 +242,7 @@
 	if current != nil && !view.Complete {
 		return nil, &Error{"make plan", KindNotReady, errors.New("this balancer has just started and does not know all members yet; try again")}
 	}
-	agents := h.liveAgents(draft.Number)
+	agents := h.agents(draft.Number)
 	p, err := plan.Make(current, draft, agents, h.planKey)
 	if err != nil {
 		return nil, err
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -166,8 +166,8 @@
 		return nil
 	}
 	accepting := 0
-	for _, s := range p.Shares {
-		if s.After > 0 {
+	for i := range p.Shares { // in the order of the agents
+		if p.Shares[i].After > 0 && roster.Live(&agents[i]) {
 			accepting++
 		}
 	}
@@ -194,6 +194,9 @@
 }
 
 func (p *Plan) addTargetStep(before *service.Intent, m *roster.Member) {
+	if m.State == roster.Suspect {
+		p.Warnings = append(p.Warnings, fmt.Sprintf("target %q has missed heartbeats, so its figures may be old", m.Name))
+	}
 	b, drained := before.Share(m.Name, m.Host, m.Zone)
 	a, drain := p.Draft.Intent.Share(m.Name, m.Host, m.Zone)
 	switch {
--- a/internal/standin/operators_test.go
+++ b/internal/standin/operators_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -267,3 +268,22 @@
 		}
 	}
 }
+
+// TestSilentTargetCanBeDrained checks that a target whose heartbeats are overdue still
+// exists for a plan, which warns of it: the target may be slow, or drained because it is.
+func TestSilentTargetCanBeDrained(t *testing.T) {
+	d := newOperatorTest(t, 2, 3)
+	agent := d.Agent("bookdesk-1")
+	qt.Assert(t, qt.IsNil(agent.Freeze()))
+	defer func() { qt.Check(t, qt.IsNil(agent.Resume())) }()
+	for isSuspect := false; !isSuspect; {
+		members, err := d.client(0).Members(d.ctx)
+		qt.Assert(t, qt.IsNil(err))
+		isSuspect = slices.ContainsFunc(members, func(m admin.Member) bool { return m.Name == "bookdesk-1" && m.State == "suspect" })
+		time.Sleep(20 * time.Millisecond)
+	}
+	p, err := d.client(0).Plan(d.ctx, d.drainDraft("bookdesk-1"))
+	qt.Assert(t, qt.IsNil(err))
+	qt.Check(t, qt.HasLen(p.Shares, 3))
+	qt.Check(t, qt.IsTrue(slices.ContainsFunc(p.Warnings, func(w string) bool { return strings.Contains(w, "bookdesk-1") })), qt.Commentf("%q", p.Warnings))
+}
