registry: the tests read the counts of calls without a race

They read a counter of their own store while the goroutine under test may write it; since the record is written again in each epoch that goroutine no longer ends, so nothing orders its writes and the test's reads. Ruled out: a race in the daemon, both accesses are in the test. Waiting with synctest.Wait after each sleep was tried and not enough: it orders writes before reads, but not a read before the next write. Change: the counter is atomic. Conclusion: the checks are as strict as before.

--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,15 +19,14 @@
 
 // failingStore is a store whose first calls fail.
 type failingStore struct {
-	failures int
-	calls    int
+	failures int64
+	calls    atomic.Int64 // read by tests while the registry runs
 	err      error
 	outdated bool // the list has an entry of an earlier epoch
 }
 
 func (s *failingStore) call() error {
-	s.calls++
-	if s.calls <= s.failures {
+	if s.calls.Add(1) <= s.failures {
 		return s.err
 	}
 	return nil
@@ -49,7 +49,7 @@
 		r, errorCount := newRegistry(s)
 		keepRegistered(t, r, epoch.NewMonitor())
 		time.Sleep(time.Minute)
-		qt.Check(t, qt.Equals(s.calls, 5))
+		qt.Check(t, qt.Equals(s.calls.Load(), 5))
 		qt.Check(t, qt.Equals(errorCount.Get(), 4))
 	})
 }
@@ -78,12 +78,12 @@
 		epochs.Observe(4)
 		keepRegistered(t, r, epochs)
 		time.Sleep(time.Minute)
-		qt.Check(t, qt.Equals(s.calls, 1))
+		qt.Check(t, qt.Equals(s.calls.Load(), 1))
 		epochs.Observe(5)
 		time.Sleep(rewriteDelay - time.Millisecond)
-		qt.Check(t, qt.Equals(s.calls, 1))
+		qt.Check(t, qt.Equals(s.calls.Load(), 1))
 		time.Sleep(time.Minute)
-		qt.Check(t, qt.Equals(s.calls, 2))
+		qt.Check(t, qt.Equals(s.calls.Load(), 2))
 	})
 }
 
@@ -104,7 +104,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		r.List(ctx)
-		qt.Check(t, qt.IsTrue(s.calls < 40))
+		qt.Check(t, qt.IsTrue(s.calls.Load() < 40))
 	})
 }
 
