flowtable: hosts that were slow for a while are given flows of each route again

An agent refuses a flow if wait and work exceed three quarters of the objective. The work learned in the slow seconds alone did, so each host refused that route, and without its requests none learned that they had become fast.

Ruled out: the throttle of balancers (it expires) and the sustainable load (it decays).

Change: a host with a free slot accepts whatever the estimates say, since no other one could start the request earlier; if the work alone rules out the objective, the timeout decides.

--- a/internal/flowtable/overload.go
+++ b/internal/flowtable/overload.go
@@ -75,16 +75,19 @@
 	if t.stalled(now) {
 		return tunnel.Crowded
 	}
-	objective := float64(r.class.Objective)
-	if !final && float64(t.admission.TotalWait(len(t.pendingOpens))) > busyWait*objective {
+	if t.hasFreeSlot() {
+		return 0
+	}
+	if !final && t.admission.TotalWait(len(t.pendingOpens)) > fraction(busyWait, r.class.Objective) {
 		return tunnel.Busy
 	}
-	expected := t.expectedWait(r) + t.admission.Work(r.id)
-	if float64(expected) > admissibleTime*objective {
-		return tunnel.Crowded
+	work := t.admission.Work(r.id)
+	limit := fraction(admissibleTime, r.class.Objective)
+	if work > limit {
+		limit = fraction(admissibleTime, r.class.Timeout) // no host can meet the objective
 	}
-	if t.hasFreeSlot() {
-		return 0
+	if t.expectedWait(r)+work > limit {
+		return tunnel.Crowded
 	}
 	if !t.admission.CanSustain(t.clock(now), r.id, r.priority(), sustainableLoad*float64(t.slots())) {
 		return tunnel.Crowded
@@ -92,6 +95,11 @@
 	return 0
 }
 
+// fraction returns a share of a duration.
+func fraction(share float64, d time.Duration) time.Duration {
+	return time.Duration(share * float64(d))
+}
+
 // hasFreeSlot reports whether the host can run another request at once, also after the
 // first requests of the flows that are about to open.
 func (t *Table) hasFreeSlot() bool {
--- a/internal/loadmodel/model_test.go
+++ b/internal/loadmodel/model_test.go
@@ -143,6 +143,18 @@
 	}
 }
 
+// TestSlowStartIsForgotten checks that hosts which were far slower than the objectives
+// for two seconds serve all again when these are over.
+func TestSlowStartIsForgotten(t *testing.T) {
+	s := load(t, "slow_start")
+	for _, seed := range seeds {
+		r := Run(s, seed)
+		for _, w := range r.Windows[6:] {
+			qt.Check(t, qt.IsTrue(w.Worth >= 0.98), qt.Commentf("seed %d: windows %+v", seed, r.Windows))
+		}
+	}
+}
+
 // TestReturningLoadIsServedAfterPowerLoss checks that requests are served again in the
 // window after the one in which all hosts have returned cold and without their flows.
 func TestReturningLoadIsServedAfterPowerLoss(t *testing.T) {
