--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -18,13 +18,12 @@
 
 // Report is a host's heartbeat.
 type Report struct {
-	ID         string // host ID, which may stay the same across restarts
-	StartTime  int64  // start time of this incarnation in Unix milliseconds; 0 if unknown
-	Seq        uint64 // increases with each report of an incarnation
-	Service    string // service that the host runs
-	State      HostState
-	Slots      int           // number of requests that the host runs concurrently
-	WarmupLeft time.Duration // remaining time of the host's warm-up
+	ID        string // host ID, which may stay the same across restarts
+	StartTime int64  // start time of this incarnation in Unix milliseconds; 0 if unknown
+	Seq       uint64 // increases with each report of an incarnation
+	Service   string // service that the host runs
+	State     HostState
+	Slots     int // number of requests that the host runs concurrently
 }
 
 // Verdict is the result of processing a report.
--- a/internal/loadmodel/daemon.go
+++ b/internal/loadmodel/daemon.go
@@ -132,7 +132,7 @@
 		a.seq++
 		r := flowtable.Report{
 			ID: a.addr.String(), StartTime: int64(1 + a.host.started), Seq: a.seq, Service: a.host.service.Name,
-			State: flowtable.HostReady, Slots: a.host.service.Slots, WarmupLeft: a.host.coldUntil.Sub(a.model.now),
+			State: flowtable.HostReady, Slots: a.host.service.Slots,
 		}
 		_, out := a.table.HandleReport(a.model.now, r, nil)
 		a.execute(out)
--- a/internal/packetagent/forward.go
+++ b/internal/packetagent/forward.go
@@ -19,7 +19,6 @@
 const (
 	maxHostDatagram   = 2048 // bytes; valid packets are smaller
 	fullWarmthPercent = 100
-	coldWarmthPercent = 60 // during warm-up a request takes about 1.6 times as long
 )
 
 // HandleTunnelDatagram handles a client's packet or questions about flows from a balancer.
@@ -219,9 +218,6 @@
 			self.Slots = uint32(host.Slots)
 			self.Warmth = fullWarmthPercent
 		}
-		if host.WarmupLeft > 0 {
-			self.Warmth = coldWarmthPercent
-		}
 		if host.State == flowtable.HostDraining {
 			self.State = roster.Draining
 		}
