steering: targets are compared by their open flows alone

Ruled out: counting requests alone, which sent flows to hosts that were idle for a moment. Change: the weight goes, and the field that only it read; warm-up no longer lowers the weight that balancers give.

--- a/internal/loadmodel/daemon.go
+++ b/internal/loadmodel/daemon.go
@@ -143,7 +143,7 @@
 func (a *agent) heartbeat() {
 	t := steering.Target{
 		Agent: a.addr, Service: a.host.service.Name, Ready: true, Weight: float64(a.host.service.Slots),
-		Flows: uint32(a.table.Flows()), Busy: uint32(a.table.Busy()), AcceptsClass: true,
+		Flows: uint32(a.table.Flows()), AcceptsClass: true,
 	}
 	a.model.after(time.Duration(a.model.DaemonLag), func() {
 		for _, b := range a.model.balancers {
--- a/internal/packetbalancer/members.go
+++ b/internal/packetbalancer/members.go
@@ -13,7 +13,6 @@
 
 const (
 	pendingTickInterval = 50 * time.Millisecond // interval of ticks while flows wait
-	fullWarmthPercent   = 100
 )
 
 // runTicks calls tick at the intervals that tick returns, and sooner when a flow
@@ -124,9 +123,8 @@
 		Ready:    m.State == roster.Ready,
 		Starting: m.State == roster.Starting,
 		Suspect:  m.State == roster.Suspect,
-		Weight:   float64(m.Slots) * float64(m.Warmth) / fullWarmthPercent,
+		Weight:   float64(m.Slots),
 		Flows:    m.Sessions,
-		Busy:     m.Busy,
 
 		AcceptsClass: m.AcceptsClass,
 	}
--- a/internal/steering/script_test.go
+++ b/internal/steering/script_test.go
@@ -154,7 +154,7 @@
 		weight = float64(c.Int(r.t, "weight"))
 	}
 	return Target{
-		Agent: r.agent(c.Arg(0)), Service: c.Arg(1), Weight: weight, Flows: uint32(c.Int(r.t, "flows")), Busy: uint32(c.Int(r.t, "busy")),
+		Agent: r.agent(c.Arg(0)), Service: c.Arg(1), Weight: weight, Flows: uint32(c.Int(r.t, "flows")),
 		Ready: !c.HasArg("draining") && !c.HasArg("starting"), Starting: c.HasArg("starting"), Suspect: c.HasArg("suspect"),
 		AcceptsClass: !c.HasArg("old"),
 	}
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -124,7 +124,7 @@
 		old.startingSince = now
 	}
 	before := old.Target
-	before.Flows, before.Busy = update.Flows, update.Busy
+	before.Flows = update.Flows
 	old.Target = update
 	if fresh {
 		old.placed, old.refusing = 0, false
--- a/internal/steering/target.go
+++ b/internal/steering/target.go
@@ -19,9 +19,8 @@
 	Ready    bool    // accepts new flows
 	Starting bool    // does not accept new flows yet
 	Suspect  bool    // its heartbeats are overdue
-	Weight   float64 // relative share of new flows: the host's slots, reduced during warm-up
+	Weight   float64 // relative share of new flows: the host's slots
 	Flows    uint32  // open flows at its last heartbeat
-	Busy     uint32  // requests in progress at its last heartbeat
 
 	AcceptsClass bool // the agent accepts the class of a flow with its packets
 }
@@ -52,15 +51,9 @@
 	return t.Starting && !t.Suspect && now.Sub(t.startingSince) < startupGrace
 }
 
-// busyWeight is the number of open flows that a request in progress counts as in
-// the load of a target. In a burst of twice the usual load, a weight of 2 leads to
-// an eighth fewer rejections by hosts than counting flows alone. Counting requests
-// alone sends too many flows to hosts that are idle for a moment.
-const busyWeight = 2
-
 // load returns the load of the target with one more flow, relative to its weight.
 func (t *target) load() float64 {
-	return float64(t.Flows+busyWeight*t.Busy+t.placed+1) / t.Weight
+	return float64(t.Flows+t.placed+1) / t.Weight
 }
 
 // classOf returns the class of a flow's requests for the target's agent, or none if that
