flowtable: the reasons to refuse a flow for its load, one step each

overloadReason had grown to seven conditions in a row; those on time and on sustained work are functions of their own now, and the order of reasons stands in one switch.

--- a/internal/flowtable/overload.go
+++ b/internal/flowtable/overload.go
@@ -72,27 +72,34 @@
 		}
 		return 0
 	}
-	if t.stalled(now) {
+	switch {
+	case t.stalled(now):
 		return tunnel.Crowded
-	}
-	if t.hasFreeSlot() {
+	case t.hasFreeSlot():
 		return 0
-	}
-	if !final && t.admission.TotalWait(len(t.pendingOpens)) > fraction(busyWait, r.class.Objective) {
+	case !final && t.admission.TotalWait(len(t.pendingOpens)) > fraction(busyWait, r.class.Objective):
 		return tunnel.Busy
+	case !t.canServeInTime(r) || !t.canSustain(now, r):
+		return tunnel.Crowded
 	}
+	return 0
+}
+
+// canServeInTime reports whether a request of the route that arrives now is expected to
+// meet its objective, or its timeout if its execution alone takes too long for that.
+func (t *Table) canServeInTime(r *routeState) bool {
 	work := t.admission.Work(r.id)
 	limit := fraction(admissibleTime, r.class.Objective)
 	if work > limit {
-		limit = fraction(admissibleTime, r.class.Timeout) // no host can meet the objective
+		limit = fraction(admissibleTime, r.class.Timeout)
 	}
-	if t.expectedWait(r)+work > limit {
-		return tunnel.Crowded
-	}
-	if !t.admission.CanSustain(t.clock(now), r.id, r.priority(), sustainableLoad*float64(t.slots())) {
-		return tunnel.Crowded
-	}
-	return 0
+	return t.expectedWait(r)+work <= limit
+}
+
+// canSustain reports whether the host can do the work that arrives lately of the route's
+// priority and higher ones.
+func (t *Table) canSustain(now time.Time, r *routeState) bool {
+	return t.admission.CanSustain(t.clock(now), r.id, r.priority(), sustainableLoad*float64(t.slots()))
 }
 
 // fraction returns a share of a duration.
