--- a/internal/script/script.go
+++ b/internal/script/script.go
@@ -61,6 +61,24 @@
 	return d
 }
 
+// ParseClass parses a class of requests, written as priority, latency objective and
+// timeout, such as 1/250ms/1500ms; all are 0 for an empty text.
+func ParseClass(t testing.TB, text string) (priority uint8, objective, timeout time.Duration) {
+	t.Helper()
+	if text == "" {
+		return 0, 0, 0
+	}
+	parts := strings.Split(text, "/")
+	qt.Assert(t, qt.HasLen(parts, 3))
+	n, err := strconv.ParseUint(parts[0], 10, 8)
+	qt.Assert(t, qt.IsNil(err))
+	objective, err = time.ParseDuration(parts[1])
+	qt.Assert(t, qt.IsNil(err))
+	timeout, err = time.ParseDuration(parts[2])
+	qt.Assert(t, qt.IsNil(err))
+	return uint8(n), objective, timeout
+}
+
 // Run runs each file that matches the pattern as a subtest. For each file, setup
 // returns the function that executes its commands and returns their output.
 func Run(t *testing.T, pattern string, setup func(t *testing.T) func(Command) []string) {
--- a/internal/steering/script_test.go
+++ b/internal/steering/script_test.go
@@ -126,20 +126,9 @@
 	r.table.SetRoutes(table)
 }
 
-// parseClass parses a class of requests, such as 1/250ms/1500ms; an empty text is an
-// unknown class.
+// parseClass returns the class that a text such as 1/250ms/1500ms describes.
 func (r *runner) parseClass(text string) (c route.Class) {
-	if text == "" {
-		return c
-	}
-	parts := strings.Split(text, "/")
-	priority, err := strconv.ParseUint(parts[0], 10, 8)
-	qt.Assert(r.t, qt.IsNil(err))
-	c.Priority = uint8(priority)
-	for i, d := range []*time.Duration{&c.Objective, &c.Timeout} {
-		*d, err = time.ParseDuration(parts[i+1])
-		qt.Assert(r.t, qt.IsNil(err))
-	}
+	c.Priority, c.Objective, c.Timeout = script.ParseClass(r.t, text)
 	return c
 }
 
