--- a/internal/admission/demand.go
+++ b/internal/admission/demand.go
@@ -5,8 +5,11 @@
 	"time"
 )
 
-// demandWindow is the time over which demand is averaged.
-const demandWindow = time.Second
+const (
+	demandWindow = time.Second       // time over which demand is averaged
+	demandExpiry = 10 * demandWindow // a class without requests for that long is forgotten
+	minDemand    = 0.05              // in slots; a class with less is left out of the sharing
+)
 
 // classDemand is the work that requests of a class have brought lately.
 type classDemand struct {
@@ -27,9 +30,6 @@
 	return d.work * math.Exp(-(now-d.at).Seconds()/demandWindow.Seconds()) / demandWindow.Seconds()
 }
 
-// minDemand is the demand, in slots, below which a class is left out of the sharing.
-const minDemand = 0.05
-
 // CanSustain reports whether the given slots can do the work that arrives lately of a
 // priority and higher ones. If they can't, a class may still have its fair share of what
 // the higher priorities leave, together with the other classes of its priority.
@@ -70,7 +70,7 @@
 // forgetDemand removes classes without recent requests.
 func (q *Queue) forgetDemand(now time.Duration) {
 	for c, d := range q.demand {
-		if now-d.at > 10*demandWindow {
+		if now-d.at > demandExpiry {
 			delete(q.demand, c)
 		}
 	}
--- a/internal/steering/target.go
+++ b/internal/steering/target.go
@@ -26,9 +26,8 @@
 }
 
 // maxCandidates is the number of targets, ranked by rendezvous hashing, of which
-// the least loaded gets a new flow. Four candidates keep the fullest of ten
-// targets within a few percent of the mean load. The first wave of a lookup in a
-// large fleet queries the same agents, so the number also bounds that wave.
+// the least loaded gets a new flow. The first wave of a lookup in a large fleet
+// queries the same agents, so the number also bounds that wave.
 const maxCandidates = 4
 
 // target is a Target with the state that placement adds to it.
--- a/internal/steering/waiting.go
+++ b/internal/steering/waiting.go
@@ -17,6 +17,10 @@
 	crowdedWaitShare = 0.4
 	maxClassWait     = time.Second
 
+	// lateShare is the share of the objective of a flow's requests after which a waiting
+	// flow is late. The remainder is for the execution of its first request.
+	lateShare = 0.75
+
 	// acceptanceWindow is the time over which the rate of accepted flows is averaged.
 	acceptanceWindow = 500 * time.Millisecond
 
@@ -36,7 +40,7 @@
 // isLate reports whether a flow has waited for so long that its first request will
 // probably miss its objective.
 func (f *flow) isLate(now time.Time) bool {
-	return f.class.Known() && now.Sub(f.firstSeen) > f.class.Objective*3/4
+	return f.class.Known() && float64(now.Sub(f.firstSeen)) > lateShare*float64(f.class.Objective)
 }
 
 // waitingFlows describes the new flows of a route that wait for a service.
