--- a/cmd/skylark-stand/main.go
+++ b/cmd/skylark-stand/main.go
@@ -31,6 +31,7 @@
 	Run      runCmd           `cmd:"" help:"Run an experiment from a TOML file, with the built programs as processes."`
 	Capacity capacityCmd      `cmd:"" help:"Measure the resource costs of docs/CAPACITY.md with the built programs."`
 	Soak     soakCmd          `cmd:"" help:"Run the built programs on a simulated platform under random faults."`
+	Model    modelCmd         `cmd:"" help:"Run load scenarios in virtual time."`
 	Report   reportCmd        `cmd:"" help:"Render runs side by side as one HTML page."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
--- a/cmd/skylark-stand/report.go
+++ b/cmd/skylark-stand/report.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"skylarkturn/internal/report"
 	"skylarkturn/platform/bench"
@@ -13,9 +15,10 @@
 type reportCmd struct {
 	Runs []string `arg:"" help:"Run files: run.json of a soak test, or a file that fleetbench --report wrote." type:"existingfile"`
 	Out  string   `help:"File to write the page to." default:"report.html" type:"path"`
+	SVG  string   `help:"Directory for an SVG file of each run, with the share of requests served; none by default." name:"svg" type:"path"`
 }
 
-// Run renders the runs as one page.
+// Run renders the runs as one page, and as files if wanted.
 func (c *reportCmd) Run() error {
 	runs := make([]report.Run, len(c.Runs))
 	for i, path := range c.Runs {
@@ -24,11 +27,32 @@
 			return err
 		}
 	}
-	f, err := os.Create(c.Out)
+	if err := writeFile(c.Out, func(w io.Writer) error { return report.Write(w, runs) }); err != nil {
+		return err
+	}
+	if c.SVG == "" {
+		return nil
+	}
+	if err := os.MkdirAll(c.SVG, 0o755); err != nil {
+		return err
+	}
+	for i, path := range c.Runs {
+		name := strings.TrimSuffix(filepath.Base(path), filepath.Ext(path)) + ".svg"
+		draw := func(w io.Writer) error { return report.WriteServed(w, &runs[i]) }
+		if err := writeFile(filepath.Join(c.SVG, name), draw); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// writeFile creates a file with what write writes.
+func writeFile(path string, write func(io.Writer) error) error {
+	f, err := os.Create(path)
 	if err != nil {
 		return err
 	}
-	if err := report.Write(f, runs); err != nil {
+	if err := write(f); err != nil {
 		_ = f.Close() // the first error is the cause
 		return err
 	}
--- a/internal/epoch/epoch.go
+++ b/internal/epoch/epoch.go
@@ -43,14 +43,14 @@
 }
 
 const (
-	minRewritePeriod     = time.Second // for small fleets
-	maxRewritesPerSecond = 200         // of all daemons together, half of the writes that the store accepts
+	minRewritePeriod      = time.Second // for small fleets
+	maxRewritersPerSecond = 100         // daemons; with two records each, half of the writes that the store accepts
 )
 
 // RewriteDelay returns the time after which a daemon writes its records again once
 // it has learned of a newer epoch. Daemons of a fleet of the given size spread
 // their writes by place, a number in [0, 1) that differs between them.
 func RewriteDelay(fleet int, place float64) time.Duration {
-	period := max(minRewritePeriod, time.Duration(fleet)*time.Second/maxRewritesPerSecond)
+	period := max(minRewritePeriod, time.Duration(fleet)*time.Second/maxRewritersPerSecond)
 	return time.Duration(place * float64(period))
 }
--- a/internal/loadmodel/scenario.go
+++ b/internal/loadmodel/scenario.go
@@ -65,6 +65,22 @@
 	Silent  bool              `toml:"silent"` // packets are lost; otherwise the host restarts without its flows
 }
 
+// String describes the burst.
+func (b Burst) String() string {
+	if b.Class == "" {
+		return fmt.Sprintf("%g times the users", b.Factor)
+	}
+	return fmt.Sprintf("%g times the users of %s", b.Factor, b.Class)
+}
+
+// String describes the outage.
+func (o Outage) String() string {
+	if o.Silent {
+		return fmt.Sprintf("%d hosts of %s are silent", o.Hosts, o.Service)
+	}
+	return fmt.Sprintf("%d hosts of %s restart", o.Hosts, o.Service)
+}
+
 // Check returns an error for the first invalid value.
 func (s *Scenario) Check() error {
 	if s.Length <= 0 || s.Balancers < 1 || s.Clients < 1 || s.Users < 1 {
--- a/internal/platformstand/windows.go
+++ b/internal/platformstand/windows.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"time"
 
 	"skylarkturn/internal/report"
@@ -47,7 +46,7 @@
 		}
 	}
 	for i := range windows {
-		windows[i].P50, windows[i].P99 = quantile(latencies[i], 0.5), quantile(latencies[i], 0.99)
+		windows[i].P50, windows[i].P99 = report.Quantile(latencies[i], 0.5), report.Quantile(latencies[i], 0.99)
 		windows[i].BusiestOverMean = c.busiestOverMean(start.Add(time.Duration(i) * windowLength))
 	}
 	return windows
@@ -71,12 +70,3 @@
 	}
 	return float64(most) * float64(len(counts)) / float64(total)
 }
-
-// quantile returns the q-quantile of values, 0 when there are none. It sorts values.
-func quantile(values []float64, q float64) float64 {
-	if len(values) == 0 {
-		return 0
-	}
-	slices.Sort(values)
-	return values[int(q*float64(len(values)-1))]
-}
--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -62,7 +62,7 @@
 }
 
 var charts = []chart{
-	{"served by second, share of requests", []series{
+	{"share of requests served", []series{
 		{"served", blue, func(w *Window) float64 { return w.share(w.Served + w.Late) }},
 		{"in time", amber, func(w *Window) float64 { return w.share(w.Served) }},
 	}, 1, nil},
@@ -86,8 +86,33 @@
 	}},
 }
 
-// draw renders the chart of a run as SVG, with faults shaded.
+// WriteServed renders the share of requests that were served in a run as an SVG document,
+// with faults shaded.
+func WriteServed(w io.Writer, r *Run) error {
+	c := charts[0]
+	c.title = r.Name + ": " + c.title
+	svg, err := c.render(r)
+	if err != nil {
+		return err
+	}
+	if _, err := w.Write(svg); err != nil {
+		return &Error{c.title, KindWrite, err}
+	}
+	return nil
+}
+
+// draw renders the chart of a run as an SVG element.
 func (c *chart) draw(r *Run) (template.HTML, error) {
+	b, err := c.render(r)
+	if err != nil {
+		return "", err
+	}
+	_, svg, _ := strings.Cut(string(b), "<svg") // the XML declaration is not allowed inside HTML
+	return template.HTML("<svg" + svg), nil     // #nosec: rendered by the library from numbers and escaped names
+}
+
+// render renders the chart of a run as an SVG document, with faults shaded.
+func (c *chart) render(r *Run) ([]byte, error) {
 	p := plot.New()
 	p.Title.Text = c.title
 	p.X.Label.Text = "seconds"
@@ -96,22 +121,21 @@
 		p.X.Min, p.X.Max = r.Windows[0].From, r.Windows[len(r.Windows)-1].From
 	}
 	if err := c.addSeries(p, r); err != nil {
-		return "", &Error{c.title, KindDraw, err}
+		return nil, &Error{c.title, KindDraw, err}
 	}
 	if c.yMax > 0 {
 		p.Y.Max = c.yMax
 	}
 	if err := addFaults(p, r); err != nil {
-		return "", &Error{c.title, KindDraw, err}
+		return nil, &Error{c.title, KindDraw, err}
 	}
 	canvas := vgsvg.New(chartWidth, chartHeight)
 	p.Draw(draw.New(canvas))
 	var b bytes.Buffer
 	if _, err := canvas.WriteTo(&b); err != nil {
-		return "", &Error{c.title, KindDraw, err}
+		return nil, &Error{c.title, KindDraw, err}
 	}
-	_, svg, _ := strings.Cut(b.String(), "<svg") // the XML declaration is not allowed inside HTML
-	return template.HTML("<svg" + svg), nil      // #nosec: rendered by the library from numbers and escaped names
+	return b.Bytes(), nil
 }
 
 func (c *chart) addSeries(p *plot.Plot, r *Run) error {
--- a/internal/report/page_test.go
+++ b/internal/report/page_test.go
@@ -45,6 +45,16 @@
 	}
 }
 
+func TestWriteServedRendersADocument(t *testing.T) {
+	var b bytes.Buffer
+	r := sample("before")
+	qt.Assert(t, qt.IsNil(WriteServed(&b, &r)))
+	qt.Check(t, qt.IsTrue(strings.HasPrefix(b.String(), "<?xml")))
+	qt.Check(t, qt.StringContains(b.String(), "before: share of requests served"))
+	var e *Error
+	qt.Check(t, qt.ErrorAs(WriteServed(brokenWriter{}, &r), &e))
+}
+
 type brokenWriter struct{}
 
 func (brokenWriter) Write([]byte) (int, error) { return 0, errors.New("disk is full") }
--- a/internal/report/run.go
+++ b/internal/report/run.go
@@ -1,5 +1,7 @@
 package report
 
+import "slices"
+
 // Run holds the measurements of one run.
 type Run struct {
 	Name    string   `json:"name"`
@@ -36,6 +38,15 @@
 	Planned     bool    `json:"planned"`
 }
 
+// Quantile returns the q-quantile of values, or 0 if there are none. It sorts values.
+func Quantile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[int(q*float64(len(values)-1))]
+}
+
 // share returns n as a fraction of the window's requests, or 1 if there were none.
 func (w *Window) share(n int) float64 {
 	if w.Requests == 0 {
