--- a/review/stand/host.go
+++ b/review/stand/host.go
@@ -160,18 +160,6 @@
 	return h.run[id]
 }
 
-// openFlows returns the number of flows that are open at the host.
-func (h *host) openFlows() (n int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	for _, f := range h.flows {
-		if f.established && !f.closed {
-			n++
-		}
-	}
-	return n
-}
-
 func (h *host) send(b []byte) {
 	_, _ = h.conn.WriteToUDPAddrPort(b, netip.AddrPortFrom(h.d.addr, h.w.ports.outbound)) // lost while the agent is down
 }
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -31,7 +31,7 @@
 		return 2
 	}
 	defer record.Close()
-	w, err := newWorld(record, os.Getenv("TROUBLE") != "0")
+	w, err := newWorld("", record, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
