--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -1,6 +1,7 @@
 package flowtable
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -22,10 +23,25 @@
 	StartTime int64  // start time of this incarnation in Unix milliseconds; 0 if unknown
 	Seq       uint64 // increases with each report of an incarnation
 	Service   string // service that the host runs
+	Zone      string
+	Addr      netip.AddrPort // where the host receives packets
 	State     HostState
 	Slots     int // number of requests that the host runs concurrently
 }
 
+// VM is what the platform assigns to the agent's VM. It does not change while a host
+// runs there, so a report that differs from it is not of the VM's host.
+type VM struct {
+	Service string // service of the host; empty if not assigned
+	Zone    string
+	Addr    netip.AddrPort // where the host receives packets
+}
+
+// matches reports whether a report can be of the VM's host.
+func (v *VM) matches(r *Report) bool {
+	return r.Zone == v.Zone && r.Addr == v.Addr && (v.Service == "" || r.Service == v.Service)
+}
+
 // Verdict is the result of processing a report.
 type Verdict uint8
 
@@ -35,11 +51,17 @@
 	Stale             // older than the newest known report, or of an ended incarnation; ignored
 	Joined            // a new host or a new incarnation of the host
 	Changed           // same incarnation, different state or service
+	Foreign           // not of the host on this VM; ignored
 )
 
+var verdictNames = [...]string{"unknown", "unchanged", "stale", "joined", "changed", "foreign"}
+
 // String returns the verdict in lower case.
 func (v Verdict) String() string {
-	return [...]string{"unknown", "unchanged", "stale", "joined", "changed"}[v%5]
+	if int(v) < len(verdictNames) {
+		return verdictNames[v]
+	}
+	return verdictNames[0]
 }
 
 // maxRecentAge is the age up to which a host that is new to the agent is assumed
@@ -95,6 +117,8 @@
 	old, known := t.host, t.host.ID != ""
 	same := known && old.ID == r.ID && old.StartTime == r.StartTime
 	switch {
+	case !t.vm.matches(&r) && !(same && old.Service == r.Service): // the settings may change before the host does
+		return Foreign, out
 	case known && !same && r.StartTime < old.StartTime && now.Sub(t.lastReport) < clockStepTimeout:
 		return Stale, out
 	case !same && slices.Contains(t.endedIncarnations, incarnation{r.ID, r.StartTime}):
--- a/internal/flowtable/hostcheck.go
+++ b/internal/flowtable/hostcheck.go
@@ -54,11 +54,11 @@
 // the given time. If the host is absent, all flows created before that time have
 // ended. If the host accepts connections but has never reported to this agent
 // process, the agent has restarted while the host kept running: the host counts as
-// ready for the service until its next heartbeat.
-func (t *Table) HandleCheck(began time.Time, r CheckResult, service string, out []Action) []Action {
+// ready for the VM's service until its next heartbeat.
+func (t *Table) HandleCheck(began time.Time, r CheckResult, out []Action) []Action {
 	t.unanswered = unansweredPackets{}
-	if r == HostListening && t.host.ID == "" && service != "" {
-		t.host, t.registered = Report{Service: service, State: HostReady, Slots: defaultSlots}, true
+	if r == HostListening && t.host.ID == "" && t.vm.Service != "" {
+		t.host, t.registered = Report{Service: t.vm.Service, State: HostReady, Slots: defaultSlots}, true
 	}
 	if r != HostAbsent {
 		return out
--- a/internal/flowtable/model_test.go
+++ b/internal/flowtable/model_test.go
@@ -85,7 +85,7 @@
 	m := &model{t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_800_000_000, 0)}
 	for i := range 4 {
 		a := &modelAgent{addr: packet.Endpoint{IP: 0x0a000001 + uint32(i), Port: 7400}.AddrPort()}
-		a.table = flowtable.New(m.now, modelReportInterval, true)
+		a.table = flowtable.New(m.now, flowtable.VM{}, modelReportInterval, true)
 		m.agents = append(m.agents, a)
 		m.startHost(a)
 	}
@@ -159,7 +159,7 @@
 // restartAgent restarts the agent while its host keeps running. The jump in Seq makes
 // the host too old to be taken for one that started after the agent.
 func (m *model) restartAgent(a *modelAgent) {
-	a.table = flowtable.New(m.now, modelReportInterval, false)
+	a.table = flowtable.New(m.now, flowtable.VM{}, modelReportInterval, false)
 	a.seq += 100
 }
 
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -21,7 +21,7 @@
 func TestScripts(t *testing.T) {
 	script.Run(t, "testdata/*.txt", func(t *testing.T) func(script.Command) []string {
 		now := time.Unix(1_800_000_000, 0)
-		r := &runner{t: t, table: New(now, reportInterval, false), now: now, routes: make(map[packet.Endpoint]packet.Endpoint)}
+		r := &runner{t: t, table: New(now, scriptVM, reportInterval, false), now: now, routes: make(map[packet.Endpoint]packet.Endpoint)}
 		return r.run
 	})
 }
@@ -36,6 +36,10 @@
 
 const reportInterval = 1200 * time.Millisecond
 
+// scriptVM is the VM of the scripts' agent. Any service may run there until a script
+// assigns one.
+var scriptVM = VM{Zone: "z1", Addr: netip.MustParseAddrPort("10.2.0.1:8080")}
+
 var listen = packet.Endpoint{IP: 0xc6120001, Port: 443}
 
 func nameIndex(t testing.TB, name string) byte {
@@ -59,7 +63,10 @@
 func (r *runner) run(c script.Command) []string {
 	switch c.Name {
 	case "first":
-		r.table = New(r.now, reportInterval, true)
+		r.table = New(r.now, scriptVM, reportInterval, true)
+		return nil
+	case "assign": // assign SERVICE: the platform assigns a service to the VM
+		r.table.SetService(c.Arg(0))
 		return nil
 	case "wait":
 		r.now = r.now.Add(c.Duration(r.t, 0))
@@ -95,7 +102,10 @@
 		return r.snapshot()
 	case "check":
 		results := map[string]CheckResult{"unclear": HostUnclear, "listening": HostListening, "absent": HostAbsent}
-		return r.formatActions(r.table.HandleCheck(r.now.Add(time.Nanosecond), results[c.Arg(0)], c.Options["service"], nil))
+		if service, ok := c.Options["service"]; ok {
+			r.table.SetService(service)
+		}
+		return r.formatActions(r.table.HandleCheck(r.now.Add(time.Nanosecond), results[c.Arg(0)], nil))
 	case "counts":
 		return []string{fmt.Sprintf("flows=%d busy=%d complete=%v", r.table.Flows(), r.table.Busy(), r.table.Complete())}
 	case "held":
@@ -133,12 +143,18 @@
 
 // report runs the command:
 //
-//	report ID SERVICE ready|draining [start=MS] [seq=N] [slots=N]
+//	report ID SERVICE ready|draining [start=MS] [seq=N] [slots=N] [zone=NAME] [addr=IP:PORT]
 func (r *runner) report(c script.Command) []string {
-	h := Report{ID: c.Arg(0), Service: c.Arg(1), State: HostReady, StartTime: int64(c.Int(r.t, "start")), Seq: uint64(c.Int(r.t, "seq")), Slots: 4}
+	h := Report{ID: c.Arg(0), Service: c.Arg(1), Zone: scriptVM.Zone, Addr: scriptVM.Addr, State: HostReady, StartTime: int64(c.Int(r.t, "start")), Seq: uint64(c.Int(r.t, "seq")), Slots: 4}
 	if _, ok := c.Options["slots"]; ok {
 		h.Slots = c.Int(r.t, "slots")
 	}
+	if zone, ok := c.Options["zone"]; ok {
+		h.Zone = zone
+	}
+	if addr, ok := c.Options["addr"]; ok {
+		h.Addr = netip.MustParseAddrPort(addr)
+	}
 	if c.HasArg("draining") {
 		h.State = HostDraining
 	}
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -56,6 +56,7 @@
 
 // Table tracks the flows of one host. It is not safe for concurrent use.
 type Table struct {
+	vm                VM
 	startedAt         time.Time     // start of the agent
 	reportInterval    time.Duration // interval of the host's heartbeats
 	complete          bool          // every flow that the host holds is in flows
@@ -80,11 +81,12 @@
 	evictions         uint64      // flows evicted because the table was full
 }
 
-// New returns the table of an agent that starts now and whose host reports at
-// the given interval. If firstStart is set, no host can have started before the
+// New returns the table of an agent that starts now on the VM and whose host reports
+// at the given interval. If firstStart is set, no host can have started before the
 // agent, so the empty table is complete.
-func New(now time.Time, reportInterval time.Duration, firstStart bool) *Table {
+func New(now time.Time, vm VM, reportInterval time.Duration, firstStart bool) *Table {
 	return &Table{
+		vm:             vm,
 		startedAt:      now,
 		reportInterval: reportInterval,
 		complete:       firstStart,
@@ -96,6 +98,14 @@
 	}
 }
 
+// SetService changes the service that the platform assigns to the VM's host, unless
+// service is empty.
+func (t *Table) SetService(service string) {
+	if service != "" {
+		t.vm.Service = service
+	}
+}
+
 // Flows returns the number of flows that are open or half open.
 func (t *Table) Flows() int { return t.activeFlows }
 
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -47,6 +47,11 @@
 	FirstStart        bool             // first start of the whole system: no host can have started before the agent
 }
 
+// vm returns what a report must match to be of the agent's host.
+func (s *Settings) vm() flowtable.VM {
+	return flowtable.VM{Service: s.Service, Zone: s.Zone, Addr: s.HostAddr}
+}
+
 // Platform holds the agent's connections to the platform: stores, packet codec and
 // HTTP handlers.
 type Platform struct {
@@ -109,7 +114,7 @@
 		decisions:      trace.NewRing(maxDecisions),
 		flowLogLimit:   trace.NewRateLimiter(flowLogsPerSecond),
 		started:        now,
-		flows:          flowtable.New(now, cfg.HeartbeatInterval, cfg.FirstStart),
+		flows:          flowtable.New(now, cfg.vm(), cfg.HeartbeatInterval, cfg.FirstStart),
 	}
 	for _, o := range opts {
 		o(a)
@@ -226,7 +231,7 @@
 		began := time.Now()
 		result := a.probeHost(ctx)
 		a.mu.Lock()
-		out := a.flows.HandleCheck(began, result, a.settings.Service, nil)
+		out := a.flows.HandleCheck(began, result, nil)
 		messages := a.updateMember(time.Now())
 		a.mu.Unlock()
 		a.log.Info().Str("event", "host_checked").Stringer("result", result).Int("actions", len(out)).Msg("")
--- a/internal/packetagent/counters.go
+++ b/internal/packetagent/counters.go
@@ -18,6 +18,9 @@
 	hostSocketErrors *metrics.Counter
 	storeErrors      *metrics.Counter
 	storeRestores    *metrics.Counter
+	heartbeats       [flowtable.Foreign + 1]*metrics.Counter // of hosts, by verdict
+
+	malformedHeartbeats *metrics.Counter
 }
 
 // addGauges registers the gauges that are computed when metrics are scraped.
@@ -41,6 +44,13 @@
 		storeErrors:      set.NewCounter(`skylark_store_errors_total`),
 		storeRestores:    set.NewCounter(`skylark_store_restores_total`),
 	}
+	heartbeatCounter := func(verdict string) *metrics.Counter {
+		return set.NewCounter(fmt.Sprintf(`skylark_host_heartbeats_total{verdict=%q}`, verdict))
+	}
+	c.malformedHeartbeats = heartbeatCounter("malformed")
+	for v := range c.heartbeats {
+		c.heartbeats[v] = heartbeatCounter(flowtable.Verdict(v).String())
+	}
 	for op := flowtable.ToHost; op <= flowtable.Drop; op++ {
 		for cause := range c.actions[op] {
 			name := fmt.Sprintf(`skylark_packets_total{action=%q,cause=%q}`, outcomeNames[op], flowtable.Cause(cause))
--- a/internal/packetagent/forward.go
+++ b/internal/packetagent/forward.go
@@ -177,8 +177,8 @@
 	}
 }
 
-// HandleHeartbeat handles a host's heartbeat.
-func (a *Agent) HandleHeartbeat(r flowtable.Report) {
+// HandleHeartbeat handles a heartbeat and reports whether it is of the agent's host.
+func (a *Agent) HandleHeartbeat(r flowtable.Report) bool {
 	now := time.Now()
 	a.mu.Lock()
 	verdict, out := a.flows.HandleReport(now, r, nil)
@@ -186,10 +186,28 @@
 	a.mu.Unlock()
 	a.execute(out)
 	a.sendMessages(messages)
-	if verdict != flowtable.Unchanged {
+	a.counters.heartbeats[verdict].Inc()
+	if verdict != flowtable.Unchanged && (verdict != flowtable.Foreign || a.flowLogLimit.Allow(now)) {
 		a.log.Info().Str("event", "host").Str("host", r.ID).Stringer("verdict", verdict).Int64("born", r.StartTime).
-			Uint64("seq", r.Seq).Str("service", r.Service).Uint8("state", uint8(r.State)).Int("flows_reset", len(out)).Msg("")
+			Uint64("seq", r.Seq).Str("service", r.Service).Str("zone", r.Zone).Stringer("addr", r.Addr).
+			Uint8("state", uint8(r.State)).Int("flows_reset", len(out)).Msg("")
 	}
+	return verdict != flowtable.Foreign
+}
+
+// RejectHeartbeat records a heartbeat that can't be decoded.
+func (a *Agent) RejectHeartbeat(id string, err error) {
+	a.counters.malformedHeartbeats.Inc()
+	if a.flowLogLimit.Allow(time.Now()) {
+		a.log.Warn().Str("event", "host").Str("host", id).Str("verdict", "malformed").Err(err).Msg("")
+	}
+}
+
+// SetService changes the service that the platform assigns to the agent's host.
+func (a *Agent) SetService(service string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.flows.SetService(service)
 }
 
 // HandleDeregistration handles the notice of a host that it is shutting down.
--- a/internal/platformstand/host.go
+++ b/internal/platformstand/host.go
@@ -19,6 +19,8 @@
 	heartbeatInterval = 400 * time.Millisecond
 	heartbeatTimeout  = time.Second
 	executionTime     = 15 * time.Millisecond // of a request
+
+	zone = "z1" // of all VMs
 )
 
 // Host simulates an application host: it holds flows, executes requests and sends
@@ -130,18 +132,7 @@
 		if draining {
 			state = "draining"
 		}
-		body, err := json.Marshal(map[string]any{
-			"service": h.Service, "address": h.conn.LocalAddr().String(), "zone": "z", "version": "v1",
-			"max-concurrency": 4, "state": state, "warmup-left-ms": 0, "seq": seq, "born": h.startTime.UnixMilli(),
-		})
-		if err != nil {
-			return
-		}
-		req, err := http.NewRequest(http.MethodPut, "http://"+h.control+"/-/instances/"+h.id, strings.NewReader(string(body)))
-		if err != nil {
-			return
-		}
-		if h.do(ctx, req) && draining {
+		if h.beat(ctx, h.id, h.heartbeat(state, seq)) && draining {
 			h.mu.Lock()
 			if h.drainAcked.IsZero() {
 				h.drainAcked = time.Now()
@@ -155,6 +146,47 @@
 	}
 }
 
+// heartbeat returns the fields of a heartbeat.
+func (h *Host) heartbeat(state string, seq int) map[string]any {
+	return map[string]any{
+		"service": h.Service, "address": h.conn.LocalAddr().String(), "zone": zone, "version": "v1",
+		"max-concurrency": 4, "state": state, "warmup-left-ms": 0, "seq": seq, "born": h.startTime.UnixMilli(),
+	}
+}
+
+// beat sends a heartbeat to the daemon and reports whether it is acknowledged.
+func (h *Host) beat(ctx context.Context, id string, fields map[string]any) bool {
+	body, err := json.Marshal(fields)
+	if err != nil {
+		return false
+	}
+	req, err := http.NewRequest(http.MethodPut, "http://"+h.control+"/-/instances/"+id, strings.NewReader(string(body)))
+	return err == nil && h.do(ctx, req)
+}
+
+// sendStrayHeartbeat sends a heartbeat of another writer to the host's daemon: one that
+// names another service, or lacks a field. It returns what is wrong with it.
+func (h *Host) sendStrayHeartbeat(r *rand.Rand) string {
+	fields := h.heartbeat("ready", 1)
+	fields["born"] = time.Now().UnixMilli()
+	services := []string{"bookdesk", "kitdocs", "nowhere"}
+	fields["service"] = services[r.IntN(len(services))]
+	what := fmt.Sprintf("service %v", fields["service"])
+	if missing := []string{"", "address", "zone", "version", "warmup-left-ms"}[r.IntN(5)]; missing != "" {
+		delete(fields, missing)
+		what += ", no " + missing
+	} else if fields["service"] == h.Service {
+		fields["zone"] = 7
+		what += ", zone of another type"
+	}
+	id := h.id
+	if r.IntN(2) == 0 {
+		id = fmt.Sprintf("x-%08x", r.Uint32())
+	}
+	h.beat(context.Background(), id, fields)
+	return what
+}
+
 // sinceDrainAck returns the time since the daemon acknowledged the drain, 0 if it
 // has not.
 func (h *Host) sinceDrainAck() time.Duration {
--- a/internal/platformstand/site.go
+++ b/internal/platformstand/site.go
@@ -337,7 +337,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	lines := []string{
-		"node-name=" + v.Name, "zone=z1", "ip=" + v.Addr.String(),
+		"node-name=" + v.Name, "zone=" + zone, "ip=" + v.Addr.String(),
 		"listen.datagram-addr=" + at(p.packets), "listen.readiness-addr=" + at(p.ready), "listen.control=" + at(p.control),
 		fmt.Sprintf("port-range=%d,%d", p.inner, p.inner+1),
 		fmt.Sprintf("seeds=%v:%d,%v:%d", s.vmAddr(0), p.control, s.vmAddr(1), p.control),
@@ -393,6 +393,13 @@
 	return nil
 }
 
+// currentHost returns the VM's host, or nil if none has started.
+func (v *VM) currentHost() *Host {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.Host
+}
+
 // isRemoved reports whether the VM was stopped for good.
 func (v *VM) isRemoved() bool {
 	v.mu.Lock()
@@ -452,9 +459,8 @@
 func (v *VM) Remove() {
 	v.mu.Lock()
 	v.removed = true
-	h := v.Host
 	v.mu.Unlock()
-	if h != nil {
+	if h := v.currentHost(); h != nil {
 		h.Crash()
 	}
 	v.Kill()
@@ -464,9 +470,8 @@
 func (v *VM) DrainAndStop(drain time.Duration) {
 	v.mu.Lock()
 	v.removed = true
-	h := v.Host
 	v.mu.Unlock()
-	if h != nil {
+	if h := v.currentHost(); h != nil {
 		h.Shutdown(drain)
 	}
 	v.Stop()
