flowtable: a late heartbeat does not replace a host that still reports (FLOW, DRAIN)

What callers would see: beside an agent that has restarted, a late heartbeat of an earlier incarnation without start time reset open flows of the living host; the host's own heartbeats were stale from then on, so its drain had no effect.

An unknown ID alone was ground enough to end the known incarnation, and nothing the ended one said later counted. Besides, an agent that had known any other host took its table for complete.

Change: while the known incarnation reports, another one is unconfirmed (ignored, answered with 409) unless both have start times and its own is later. It is accepted once the known one has left, is absent or has missed a heartbeat; an earlier one after 4 s of silence. The table is complete if the host is younger than the agent.

--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -47,14 +47,22 @@
 
 // Verdicts on a report.
 const (
-	Unchanged Verdict = iota + 1
-	Stale             // older than the newest known report, or of an ended incarnation; ignored
-	Joined            // a new host or a new incarnation of the host
-	Changed           // same incarnation, different state or service
-	Foreign           // not of the host on this VM; ignored
+	Unchanged   Verdict = iota + 1
+	Stale               // of the known incarnation, but older than its newest report or sent before its deregistration; ignored
+	Joined              // a new host or a new incarnation of the host
+	Changed             // same incarnation, different state or service
+	Foreign             // not of the host on this VM; ignored
+	Unconfirmed         // of another incarnation than the known one, which may still run; ignored
 )
 
-var verdictNames = [...]string{"unknown", "unchanged", "stale", "joined", "changed", "foreign"}
+// NumVerdicts is the number of verdicts, for arrays indexed by Verdict.
+const NumVerdicts = len(verdictNames)
+
+var verdictNames = [...]string{"unknown", "unchanged", "stale", "joined", "changed", "foreign", "unconfirmed"}
+
+// Acknowledged reports whether a report with the verdict is to be acknowledged: it is
+// of the host, and later reports reflect it.
+func (v Verdict) Acknowledged() bool { return v != Foreign && v != Unconfirmed }
 
 // String returns the verdict in lower case.
 func (v Verdict) String() string {
@@ -74,6 +82,10 @@
 // maxReportDelay is the maximum network delay of a report.
 const maxReportDelay = 500 * time.Millisecond
 
+// missedReportTimeout is the time without a report after which the known incarnation
+// has missed one.
+func (t *Table) missedReportTimeout() time.Duration { return t.reportInterval + maxReportDelay }
+
 // maxAge returns an upper bound of the host's age, from the number of its reports.
 func (t *Table) maxAge(r Report) time.Duration {
 	return time.Duration(r.Seq)*t.reportInterval + maxReportDelay
@@ -89,10 +101,10 @@
 // flows are reset after that, because it may still answer requests until then.
 const shutdownGrace = 150 * time.Millisecond
 
-// clockStepTimeout is how long the known incarnation must have sent no report before
-// a report with an earlier start time is accepted as a new incarnation. Start times
-// can decrease because the VM's clock may be set back.
-const clockStepTimeout = 4 * time.Second
+// reinstateTimeout is how long the known incarnation must have sent no report before
+// a report of an earlier one is accepted: of one with an earlier start time, since the
+// VM's clock may be set back, or of one that was replaced.
+const reinstateTimeout = 4 * time.Second
 
 // completeAfter is the time after the agent's start from which its table is
 // complete. It is the maximum lifetime of a flow.
@@ -119,17 +131,15 @@
 	switch {
 	case !t.vm.matches(&r) && !(same && old.Service == r.Service): // the settings may change before the host does
 		return Foreign, out
-	case known && !same && r.StartTime < old.StartTime && now.Sub(t.lastReport) < clockStepTimeout:
-		return Stale, out
-	case !same && slices.Contains(t.endedIncarnations, incarnation{r.ID, r.StartTime}):
-		return Stale, out
-	case same && (r.Seq < old.Seq || t.hostLeft):
+	case same && t.isLate(&r):
 		return Stale, out
+	case known && !same && now.Sub(t.lastReport) < t.replacementDelay(&r):
+		return Unconfirmed, out
 	}
 	t.host, t.registered, t.lastReport = r, true, now
 	t.admission.SetSlots(maxInProgress(t.slots()))
+	t.unanswered = unansweredPackets{}
 	if same {
-		t.unanswered = unansweredPackets{}
 		out = t.resetPreviousIfReplaced(r.Seq > old.Seq, out)
 		if old.State != r.State || old.Service != r.Service {
 			return Changed, out
@@ -137,17 +147,34 @@
 		return Unchanged, out
 	}
 	t.hostLeft, t.resetFlowsAt = false, time.Time{}
-	t.unanswered = unansweredPackets{}
 	if known {
 		t.recordEnded(old)
 		out = t.endFlowsBefore(now, now.Add(-t.maxAge(r)), HostRestarted, out)
 	}
-	if known || t.startedRecently(r) {
+	if t.startedRecently(r) || now.Sub(t.startedAt) > t.maxAge(r) {
 		t.complete = true // all flows of the host were opened through this agent process
 	}
 	return Joined, t.forwardStarted(now, t.resetPreviousIfReplaced(t.startedRecently(r), out))
 }
 
+// isLate reports whether a report of the known incarnation is older than what it has
+// said last.
+func (t *Table) isLate(r *Report) bool { return r.Seq < t.host.Seq || t.hostLeft }
+
+// replacementDelay returns how long the known incarnation must have sent no report
+// before a report of another one is accepted. Only one process can run at the host's
+// address, so a report of another one is a late one while the known incarnation reports.
+func (t *Table) replacementDelay(r *Report) time.Duration {
+	old := &t.host
+	switch {
+	case r.StartTime < old.StartTime || slices.Contains(t.endedIncarnations, incarnation{r.ID, r.StartTime}):
+		return reinstateTimeout
+	case !t.registered || old.StartTime != 0 && r.StartTime > old.StartTime:
+		return 0
+	}
+	return t.missedReportTimeout()
+}
+
 // incarnation identifies one run of a host.
 type incarnation struct {
 	id        string
--- a/internal/packetagent/counters.go
+++ b/internal/packetagent/counters.go
@@ -18,7 +18,7 @@
 	hostSocketErrors *metrics.Counter
 	storeErrors      *metrics.Counter
 	storeRestores    *metrics.Counter
-	heartbeats       [flowtable.Foreign + 1]*metrics.Counter // of hosts, by verdict
+	heartbeats       [flowtable.NumVerdicts]*metrics.Counter // of hosts, by verdict
 
 	malformedHeartbeats *metrics.Counter
 }
--- a/internal/packetagent/forward.go
+++ b/internal/packetagent/forward.go
@@ -187,12 +187,12 @@
 	a.execute(out)
 	a.sendMessages(messages)
 	a.counters.heartbeats[verdict].Inc()
-	if verdict != flowtable.Unchanged && (verdict != flowtable.Foreign || a.flowLogLimit.Allow(now)) {
+	if verdict != flowtable.Unchanged && (verdict.Acknowledged() || a.flowLogLimit.Allow(now)) {
 		a.log.Info().Str("event", "host").Str("host", r.ID).Stringer("verdict", verdict).Int64("born", r.StartTime).
 			Uint64("seq", r.Seq).Str("service", r.Service).Str("zone", r.Zone).Stringer("addr", r.Addr).
 			Uint8("state", uint8(r.State)).Int("flows_reset", len(out)).Msg("")
 	}
-	return verdict != flowtable.Foreign
+	return verdict.Acknowledged()
 }
 
 // RejectHeartbeat records a heartbeat that can't be decoded.
--- a/internal/platformstand/host.go
+++ b/internal/platformstand/host.go
@@ -104,9 +104,7 @@
 	h.draining = true
 	h.mu.Unlock()
 	time.Sleep(drain)
-	if req, err := http.NewRequest(http.MethodDelete, "http://"+h.control+"/-/instances/"+h.id, nil); err == nil {
-		h.do(context.Background(), req)
-	}
+	h.deregister(h.id)
 	h.Crash()
 }
 
@@ -164,27 +162,39 @@
 	return err == nil && h.do(ctx, req)
 }
 
-// sendStrayHeartbeat sends a heartbeat of another writer to the host's daemon: one that
-// names another service, or lacks a field. It returns what is wrong with it.
-func (h *Host) sendStrayHeartbeat(r *rand.Rand) string {
+// sendStray sends the host's daemon a message that is not of the host, and returns what
+// it is: a heartbeat that names another service or lacks a field, or a late heartbeat or
+// deregistration of a host that has ended.
+func (h *Host) sendStray(r *rand.Rand) string {
+	ended := fmt.Sprintf("x-%08x", r.Uint32())
+	switch r.IntN(4) {
+	case 0:
+		h.deregister(ended)
+		return "deregistration of " + ended
+	case 1:
+		fields := h.heartbeat("ready", 3)
+		fields["born"] = h.startTime.Add(-time.Hour).UnixMilli()
+		h.beat(context.Background(), ended, fields)
+		return "heartbeat of the ended " + ended
+	}
 	fields := h.heartbeat("ready", 1)
 	fields["born"] = time.Now().UnixMilli()
 	services := []string{"bookdesk", "kitdocs", "nowhere"}
 	fields["service"] = services[r.IntN(len(services))]
-	what := fmt.Sprintf("service %v", fields["service"])
-	if missing := []string{"", "address", "zone", "version", "warmup-left-ms"}[r.IntN(5)]; missing != "" {
+	missing := []string{"address", "zone", "version", "warmup-left-ms"}[r.IntN(4)]
+	if fields["service"] == h.Service || r.IntN(2) == 0 {
 		delete(fields, missing)
-		what += ", no " + missing
-	} else if fields["service"] == h.Service {
-		fields["zone"] = 7
-		what += ", zone of another type"
-	}
-	id := h.id
-	if r.IntN(2) == 0 {
-		id = fmt.Sprintf("x-%08x", r.Uint32())
 	}
+	id := []string{h.id, ended}[r.IntN(2)]
 	h.beat(context.Background(), id, fields)
-	return what
+	return fmt.Sprintf("heartbeat of %s with the fields %v", id, fields)
+}
+
+// deregister tells the daemon that the host with the ID is shutting down.
+func (h *Host) deregister(id string) {
+	if req, err := http.NewRequest(http.MethodDelete, "http://"+h.control+"/-/instances/"+id, nil); err == nil {
+		h.do(context.Background(), req)
+	}
 }
 
 // sinceDrainAck returns the time since the daemon acknowledged the drain, 0 if it
--- a/internal/platformstand/soak.go
+++ b/internal/platformstand/soak.go
@@ -163,7 +163,7 @@
 func (k *soakRun) injectFaults(ctx context.Context, end time.Time) {
 	faults := []func(){
 		k.killDaemons, k.killDaemons, k.killAll, k.freeze, k.rollBalancers, k.reloadAll, k.crashHost, k.replaceHost, k.replaceHost,
-		k.failStore, k.failStore, k.faultStoreConns, k.faultStoreConns, k.compact, k.restoreStore, k.restoreStore, k.configure, k.configure, k.configure, k.loseClientPackets, k.addBalancer, k.sendStrayHeartbeats,
+		k.failStore, k.failStore, k.faultStoreConns, k.faultStoreConns, k.compact, k.restoreStore, k.restoreStore, k.configure, k.configure, k.configure, k.loseClientPackets, k.addBalancer, k.sendStrays,
 	}
 	for ctx.Err() == nil && time.Now().Before(end) {
 		faults[k.rand.IntN(len(faults))]()
@@ -273,13 +273,13 @@
 	}
 }
 
-// sendStrayHeartbeats sends heartbeats of another writer to up to three agents.
-func (k *soakRun) sendStrayHeartbeats() {
+// sendStrays sends up to three agents a message that is not of their host.
+func (k *soakRun) sendStrays() {
 	for _, v := range k.pickVMs(false, 3) {
 		source := rand.New(rand.NewPCG(k.rand.Uint64(), 1))
 		k.runFault(v, func() error {
 			if h := v.currentHost(); h != nil {
-				k.logf("another writer's heartbeat to %s: %s", v.Name, h.sendStrayHeartbeat(source))
+				k.logf("stray message to %s: %s", v.Name, h.sendStray(source))
 			}
 			return nil
 		})
