flowtable: a deregistration without a drain resets flows only once the host is gone (FLOW)

What callers would see: a late deregistration of an earlier incarnation with the same ID reset all flows of the living host after 150 ms, and its heartbeats were stale from then on; at an agent that had just restarted a deregistration with any ID made the empty table complete, so flows of the living host were denied.

Change: it resets flows at once only if the current incarnation has announced its drain, which a planned shutdown does first. Otherwise the host gets no new flows and is checked each second until nothing listens at its address. A host that reports on 1.7 s after it has deregistered is registered again.

--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -131,7 +131,7 @@
 	switch {
 	case !t.vm.matches(&r) && !(same && old.Service == r.Service): // the settings may change before the host does
 		return Foreign, out
-	case same && t.isLate(&r):
+	case same && t.isLate(now, &r):
 		return Stale, out
 	case known && !same && now.Sub(t.lastReport) < t.replacementDelay(&r):
 		return Unconfirmed, out
@@ -139,6 +139,7 @@
 	t.host, t.registered, t.lastReport = r, true, now
 	t.admission.SetSlots(maxInProgress(t.slots()))
 	t.unanswered = unansweredPackets{}
+	t.departure = departure{drainAnnounced: r.State == HostDraining || same && t.departure.drainAnnounced}
 	if same {
 		out = t.resetPreviousIfReplaced(r.Seq > old.Seq, out)
 		if old.State != r.State || old.Service != r.Service {
@@ -146,7 +147,6 @@
 		}
 		return Unchanged, out
 	}
-	t.hostLeft, t.resetFlowsAt = false, time.Time{}
 	if known {
 		t.recordEnded(old)
 		out = t.endFlowsBefore(now, now.Add(-t.maxAge(r)), HostRestarted, out)
@@ -158,8 +158,10 @@
 }
 
 // isLate reports whether a report of the known incarnation is older than what it has
-// said last.
-func (t *Table) isLate(r *Report) bool { return r.Seq < t.host.Seq || t.hostLeft }
+// said last. A host that has deregistered but goes on to report has not ended.
+func (t *Table) isLate(now time.Time, r *Report) bool {
+	return r.Seq < t.host.Seq || t.departure.deregistered && now.Sub(t.departure.deregisteredAt) < t.missedReportTimeout()
+}
 
 // replacementDelay returns how long the known incarnation must have sent no report
 // before a report of another one is accepted. Only one process can run at the host's
@@ -194,17 +196,35 @@
 	t.endedIncarnations = append(t.endedIncarnations, incarnation{r.ID, r.StartTime})
 }
 
-// HandleLeave handles a host's shutdown notice and reports whether it came from the
-// current host. The host's flows are reset after shutdownGrace.
+// departure is what the known incarnation has said about its shutdown.
+type departure struct {
+	drainAnnounced bool // it has reported that it is draining
+	deregistered   bool
+	deregisteredAt time.Time
+	unproven       bool      // it may run on: its flows are reset only if a check finds it absent
+	resetFlowsAt   time.Time // when the flows of a host that has left are reset; zero once done
+}
+
+// HandleLeave handles the deregistration of a host and reports whether it came from the
+// current host, which gets no new flows from then on. If the host has announced before
+// that it is draining, its flows are reset after shutdownGrace. Otherwise the
+// deregistration may be a late one of an earlier incarnation with the same ID, or of a
+// host that this agent process has never heard, and proves nothing about the flows.
 func (t *Table) HandleLeave(now time.Time, id string) bool {
 	if t.host.ID == "" {
 		t.host.ID = id // it has reported only to an earlier agent process
 	}
-	if id != t.host.ID || t.hostLeft {
+	if id != t.host.ID || t.departure.deregistered {
 		return false
 	}
-	t.hostLeft, t.registered = true, false
-	t.resetFlowsAt = now.Add(shutdownGrace)
+	t.registered = false
+	d := &t.departure
+	d.deregistered, d.deregisteredAt = true, now
+	if d.drainAnnounced {
+		d.resetFlowsAt = now.Add(shutdownGrace)
+	} else {
+		d.unproven = true
+	}
 	return true
 }
 
--- a/internal/flowtable/hostcheck.go
+++ b/internal/flowtable/hostcheck.go
@@ -28,10 +28,10 @@
 const defaultSlots = 4
 
 // HostSuspected reports whether the host may be down: it has not answered packets
-// for unansweredTimeout, or no host has ever reported and balancers have sent
-// packets of unknown flows.
+// for unansweredTimeout, it has deregistered without a drain, or no host has ever
+// reported and balancers have sent packets of unknown flows.
 func (t *Table) HostSuspected(now time.Time) bool {
-	if t.host.ID == "" && !t.registered && len(t.questions) > 0 {
+	if t.host.ID == "" && !t.registered && len(t.questions) > 0 || t.departure.unproven {
 		return true
 	}
 	return t.unanswered.count >= minUnanswered && now.Sub(t.unanswered.since) >= unansweredTimeout
@@ -64,6 +64,7 @@
 		return out
 	}
 	t.registered = false
+	t.departure.unproven = false
 	t.complete = true
 	t.previousHostEnded = true
 	out = t.resetPreviousFlows(HostEnded, out)
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -62,8 +62,7 @@
 	complete          bool          // every flow that the host holds is in flows
 	host              Report        // newest report; without an ID if none has been received
 	registered        bool          // a host is running, as far as the agent knows
-	hostLeft          bool          // the current incarnation has announced its shutdown
-	resetFlowsAt      time.Time     // when the flows of a host that has left are reset; zero once done
+	departure         departure     // of the current incarnation
 	lastReport        time.Time     // when host was received
 	unanswered        unansweredPackets
 	flows             map[packet.Key]*flow
@@ -160,7 +159,7 @@
 func (t *Table) Lookup(q tunnel.Question) tunnel.Answer {
 	f := t.flows[q.Flow]
 	switch {
-	case f == nil && !t.authoritative():
+	case f == nil && !t.complete:
 		return tunnel.Answer{Flow: q.Flow, Reason: tunnel.Unsure}
 	case f == nil || f.state == halfOpen && !f.ackMatches(q.Ack):
 		return tunnel.Answer{Flow: q.Flow, Reason: tunnel.NotHeld}
@@ -168,10 +167,6 @@
 	return tunnel.Answer{Flow: q.Flow}
 }
 
-// authoritative reports whether a flow that is missing from the table is known
-// not to exist at the host either.
-func (t *Table) authoritative() bool { return t.complete || t.hostLeft && t.resetFlowsAt.IsZero() }
-
 // ackMatches reports whether the client's acknowledgement number fits this host's
 // SYN-ACK. Copies of a SYN can reach several hosts, but the client acknowledges
 // the sequence number of only one of them.
@@ -200,7 +195,7 @@
 
 // handleUnknown handles a packet of a flow that is not in the table.
 func (t *Table) handleUnknown(now time.Time, from netip.AddrPort, kind tunnel.Kind, k packet.Key, raw []byte, out []Action) []Action {
-	if t.authoritative() || len(t.questions) >= maxPendingQuestions {
+	if t.complete || len(t.questions) >= maxPendingQuestions {
 		return append(out, refusedReply(k, from, kind, tunnel.NotHeld, raw))
 	}
 	t.questions[k] = pendingQuestion{from, now, kind}
@@ -236,8 +231,8 @@
 // Tick runs the timers: it resets the flows of a host that has left and removes
 // expired flows and questions.
 func (t *Table) Tick(now time.Time, out []Action) []Action {
-	if t.hostLeft && !t.resetFlowsAt.IsZero() && now.After(t.resetFlowsAt) {
-		t.resetFlowsAt = time.Time{}
+	if at := t.departure.resetFlowsAt; !at.IsZero() && now.After(at) {
+		t.departure.resetFlowsAt = time.Time{}
 		out = t.endAllFlows(now, HostLeft, out)
 		out = t.resetPreviousFlows(HostLeft, out)
 		t.complete = true
