--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -72,11 +72,10 @@
 	return verdictNames[0]
 }
 
-// maxRecentAge is the age up to which a host that is new to the agent is assumed
-// to have started after the agent. If the agent was in fact killed within that
-// time of the host's start, the flows opened in between are lost and their clients
-// reconnect. That costs less than asking all hosts of a fleet about every flow
-// that ended in a power loss.
+// maxRecentAge is the age up to which a host that is new to the agent is assumed to
+// have started after the agent, or together with it, if an earlier process of the agent
+// is not known to have heard the host. Asking all hosts of a fleet about every flow that
+// ended in a power loss would cost more.
 const maxRecentAge = 4 * time.Second
 
 // maxReportDelay is the maximum network delay of a report.
@@ -151,10 +150,25 @@
 		t.recordEnded(old)
 		out = t.endFlowsBefore(now, now.Add(-t.maxAge(r)), HostRestarted, out)
 	}
-	if t.startedRecently(r) || now.Sub(t.startedAt) > t.maxAge(r) {
+	t.joinedRecent = t.startedRecently(r)
+	if t.joinedRecent && t.unknownToPredecessor() || now.Sub(t.startedAt) > t.maxAge(r) {
 		t.complete = true // all flows of the host were opened through this agent process
 	}
-	return Joined, t.forwardStarted(now, t.resetPreviousIfReplaced(t.startedRecently(r), out))
+	return Joined, t.forwardStarted(now, t.resetPreviousIfReplaced(t.joinedRecent, out))
+}
+
+// unknownToPredecessor reports whether no earlier process of the agent has heard the
+// host, as far as the store tells: a process saves a snapshot as soon as it hears a host.
+func (t *Table) unknownToPredecessor() bool {
+	p := &t.predecessor
+	return p.known && !p.outdated && p.host != incarnation{t.host.ID, t.host.StartTime}
+}
+
+// predecessor is what the store's snapshot tells of the agent's earlier process.
+type predecessor struct {
+	known    bool        // the snapshot was read
+	outdated bool        // as in Snapshot
+	host     incarnation // host of the snapshot; zero if there is none
 }
 
 // isLate reports whether a report of the known incarnation is older than what it has
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -101,6 +101,11 @@
 		return r.setPreviousSnapshot(c)
 	case "snapshot":
 		return r.snapshot()
+	case "saved": // saved: prints whether the snapshot is to be saved for its host, and takes it
+		s := r.table.Snapshot(r.now)
+		names := s.NamesNewHost(r.lastSnapshot)
+		r.lastSnapshot = s
+		return []string{fmt.Sprint(names)}
 	case "check":
 		results := map[string]CheckResult{"unclear": HostUnclear, "listening": HostListening, "absent": HostAbsent}
 		if service, ok := c.Options["service"]; ok {
--- a/internal/flowtable/snapshot.go
+++ b/internal/flowtable/snapshot.go
@@ -19,7 +19,8 @@
 )
 
 // Snapshot lists the open flows of one incarnation of a host. After a power loss of
-// agent and host, the next agent process uses it to reset those flows.
+// agent and host, the next agent process uses it to reset those flows. It also tells
+// that process which host its predecessor has heard.
 type Snapshot struct {
 	HostID    string
 	StartTime int64                 // as in Report
@@ -67,6 +68,13 @@
 	return age >= interval && share >= replaceShare || age >= interval/earlyIntervalDivisor && share >= earlyReplaceShare
 }
 
+// NamesNewHost reports whether s is of another incarnation of the host than old. Such a
+// snapshot is saved even without flows: it tells the agent's next process that this one
+// has forwarded packets to the incarnation.
+func (s Snapshot) NamesNewHost(old Snapshot) bool {
+	return s.HostID != "" && (s.HostID != old.HostID || s.StartTime != old.StartTime)
+}
+
 const flowLen = packet.KeyLen + 4 // bytes of an encoded flow
 
 // EncodeFlows returns the binary encoding of the flows.
@@ -96,6 +104,10 @@
 // would fail.
 func (t *Table) SetPreviousSnapshot(s Snapshot, out []Action) []Action {
 	t.previous = s
+	t.predecessor = predecessor{known: true, outdated: s.Outdated, host: incarnation{s.HostID, s.StartTime}}
+	if t.host.ID != "" && t.joinedRecent && t.unknownToPredecessor() {
+		t.complete = true
+	}
 	if t.previousHostEnded {
 		return t.resetPreviousFlows(HostEnded, out)
 	}
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -63,13 +63,15 @@
 	host              Report        // newest report; without an ID if none has been received
 	registered        bool          // a host is running, as far as the agent knows
 	departure         departure     // of the current incarnation
+	joinedRecent      bool          // the current incarnation had started recently when its first report was received
 	lastReport        time.Time     // when host was received
 	unanswered        unansweredPackets
 	flows             map[packet.Key]*flow
 	questions         map[packet.Key]pendingQuestion // by flow
 	endedIncarnations []incarnation                  // oldest first
 	previous          Snapshot                       // written by an earlier agent process
-	previousHostEnded bool                           // the host of the previous snapshot is known to have ended
+	predecessor       predecessor
+	previousHostEnded bool // the host of the previous snapshot is known to have ended
 	routes            map[packet.Endpoint]*routeState
 	admission         *admission.Queue // of the host
 	held              map[admission.Ticket]*heldRequest
--- a/internal/packetagent/forward.go
+++ b/internal/packetagent/forward.go
@@ -187,6 +187,9 @@
 	a.execute(out)
 	a.sendMessages(messages)
 	a.counters.heartbeats[verdict].Inc()
+	if verdict == flowtable.Joined {
+		wake(a.hostJoined)
+	}
 	if verdict != flowtable.Unchanged && (verdict.Acknowledged() || a.flowLogLimit.Allow(now)) {
 		a.log.Info().Str("event", "host").Str("host", r.ID).Stringer("verdict", verdict).Int64("born", r.StartTime).
 			Uint64("seq", r.Seq).Str("service", r.Service).Str("zone", r.Zone).Stringer("addr", r.Addr).
@@ -281,9 +284,13 @@
 }
 
 // requestCheck wakes checkHost. It does nothing if a request is already pending.
-func (a *Agent) requestCheck() {
+func (a *Agent) requestCheck() { wake(a.checkRequested) }
+
+// wake wakes the goroutine that reads c, which has room for one request. It does nothing
+// if one is already pending.
+func wake(c chan struct{}) {
 	select {
-	case a.checkRequested <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
