--- a/internal/packetbalancer/balancer.go
+++ b/internal/packetbalancer/balancer.go
@@ -63,9 +63,11 @@
 // Store reads the operator's configuration. Config returns the current one;
 // AwaitConfig waits for a revision after since and reports !ok if none came. It fails
 // with kind platform.KindRestored if since is of an earlier epoch than the answer.
+// Reconnect makes the next call use a new connection.
 type Store interface {
 	Config(ctx context.Context) (cfg route.Config, at epoch.Position, ok bool, err error)
 	AwaitConfig(ctx context.Context, since epoch.Position, wait time.Duration) (cfg route.Config, at epoch.Position, ok bool, err error)
+	Reconnect()
 }
 
 // Platform holds the balancer's connections to the platform: stores, packet codec
--- a/internal/packetbalancer/config.go
+++ b/internal/packetbalancer/config.go
@@ -134,11 +134,13 @@
 	return nil
 }
 
-// checkOnce compares the configuration with the store once. If the store has a
+// checkOnce compares the configuration with the store once, over a new connection: those
+// that are open may have gone silent together with the watch. If the store has a
 // version that the watch has missed, checkOnce cancels the watch, so that
 // watchStore starts a new one.
 func (b *Balancer) checkOnce(ctx context.Context, since epoch.Position) (epoch.Position, error) {
 	before := b.configVersion.Load()
+	b.platform.Store.Reconnect()
 	next, err := b.syncFromStore(ctx, since, checkTimeout)
 	if err == nil && b.configVersion.Load() > before {
 		b.mu.Lock()
