roster: what a daemon hears itself outweighs others' records of a member that is gone

Cause: the balancer that was cut off spread its "gone" records of the agents it had not heard. At equal sequence numbers the later state wins, also over heartbeats that the receiver gets each 0.4 s from the same agents, and a target that is gone has its flows reset before the agent can refute it. Ruled out: the cut balancer's deltas (sent to nobody while it is cut); the records come in its answers to repairs.

Change: a "gone" record of an incarnation heard within SuspectAfter is taken for a suspicion, which the member refutes with its next heartbeat, and a suspicion does not end in "gone" while the member is heard.

Test: script wrong_gone_records_after_a_cut; before, both uncut balancers held the three agents as gone. An agent that is killed is still gone everywhere within its 3 s.

--- a/internal/membership/script_test.go
+++ b/internal/membership/script_test.go
@@ -42,6 +42,7 @@
 	inFlight  []Outgoing
 	cuts      map[string]bool // cut links by pair name, in both directions
 	bytesSent int
+	gone      map[string][]string // agents that each balancer has taken for gone since the script last asked
 }
 
 func newNetwork(t *testing.T) *network {
@@ -50,7 +51,7 @@
 	return &network{
 		t: t, now: time.Unix(1_800_000_000, 0), codec: codec,
 		balancers: make(map[string]*Balancer), agents: make(map[string]*Agent),
-		nextTick: make(map[string]time.Time), cuts: make(map[string]bool),
+		nextTick: make(map[string]time.Time), cuts: make(map[string]bool), gone: make(map[string][]string),
 	}
 }
 
@@ -149,6 +150,10 @@
 		} else {
 			n.agents[c.Arg(0)].AddSeeds(n.addrs(c.Arg(1)))
 		}
+	case "ever-gone": // ever-gone b1: prints the agents that b1 has taken for gone since the last such command
+		gone := n.gone[c.Arg(0)]
+		delete(n.gone, c.Arg(0))
+		return []string{fmt.Sprint(gone)}
 	case "observers":
 		return []string{n.observers(c.Arg(0))}
 	default:
@@ -222,6 +227,7 @@
 			if b := n.balancers[name]; !n.now.Before(n.nextTick[name]) {
 				n.send(name, b.Tick(n.now))
 				b.Settled(n.now)
+				n.recordGone(name, b)
 				n.nextTick[name] = n.now.Add(b.TickAfter(n.now))
 			}
 		}
@@ -234,6 +240,15 @@
 	}
 }
 
+// recordGone records the agents that a balancer takes for gone.
+func (n *network) recordGone(name string, b *Balancer) {
+	for _, m := range b.Members().Members(func(m *roster.Member) bool { return m.Role == roster.Agent && m.State == roster.Gone }) {
+		if agent := nameOf(m.Addr); !slices.Contains(n.gone[name], agent) {
+			n.gone[name] = append(n.gone[name], agent)
+		}
+	}
+}
+
 func (n *network) deliver(o Outgoing) {
 	sealed, err := n.codec.Seal(o.Message)
 	qt.Assert(n.t, qt.IsNil(err))
@@ -245,6 +260,7 @@
 	if b := n.balancers[name]; b != nil {
 		b.SetStoreEpoch(m.StoreEpoch)
 		n.send(name, b.Receive(n.now, m))
+		n.recordGone(name, b)
 	}
 	if a := n.agents[name]; a != nil {
 		a.SetStoreEpoch(m.StoreEpoch)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -46,6 +46,7 @@
 type entry struct {
 	member            Member
 	lastHeartbeat     time.Time // last heartbeat of an observed agent, or the end of its initial grace period; else zero
+	heardAt           time.Time // when a record was last received from the member itself; zero if never
 	awaitingSince     time.Time // when a balancer was sent the oldest message it has not replied to; zero if none
 	changedAt         time.Time // when member was last replaced
 	transmissionsLeft int       // remaining transmissions of the record as a delta
@@ -101,6 +102,7 @@
 	if m.Role == Agent {
 		e.lastHeartbeat = now
 	}
+	e.heardAt = now
 	e.awaitingSince = time.Time{}
 	e.member.Sessions, e.member.Busy = m.Sessions, m.Busy
 	e.member.Generation = m.Generation
@@ -125,14 +127,26 @@
 	if e == nil {
 		e = &entry{}
 		r.entries[m.Addr] = e
-	} else if !m.Supersedes(&e.member) {
-		return false
+	} else {
+		if m.State == Gone && r.heardRecently(now, e, &m) {
+			m.State = Suspect // until the member refutes it or is no longer heard here
+		}
+		if !m.Supersedes(&e.member) {
+			return false
+		}
 	}
 	e.lastHeartbeat, e.awaitingSince = time.Time{}, time.Time{} // others receive its heartbeats, too: restart its timeouts
 	r.replace(now, e, m)
 	return true
 }
 
+// heardRecently reports whether this daemon itself has heard the incarnation of record m
+// so recently that it would not suspect it. That is better evidence than the records of
+// others, which may have been cut off from the member.
+func (r *Roster) heardRecently(now time.Time, e *entry, m *Member) bool {
+	return m.Incarnation == e.member.Incarnation && !e.heardAt.IsZero() && now.Sub(e.heardAt) <= r.timing.SuspectAfter
+}
+
 // ExpectReply records that a message was sent to a balancer that must reply to it.
 func (r *Roster) ExpectReply(now time.Time, a netip.AddrPort) {
 	if e := r.entries[a]; e != nil && e.awaitingSince.IsZero() {
@@ -340,7 +354,7 @@
 	case e.member.State == Suspect && e.member.PlannedRestart:
 		return Gone, age > r.timing.GoneAfter+r.timing.RestartGrace
 	case e.member.State == Suspect:
-		return Gone, age > r.timing.GoneAfter
+		return Gone, age > r.timing.GoneAfter && !r.heardRecently(now, e, &e.member)
 	case !e.lastHeartbeat.IsZero():
 		return Suspect, now.Sub(e.lastHeartbeat) > r.timing.SuspectAfter
 	case !e.awaitingSince.IsZero():
