steering: a flow from a reused port goes where its route leads now (CONFIG)

What callers would see: a client that opens another flow from the same port within 30 s, after the route has changed its service, is sent to the owner of the old flow with that owner's service, so the agent there accepts it.

Cause: handleOpen sent a SYN of a flow with a confirmed owner to that owner, also when the client's earlier attempt is over (openTimeout) and the SYN opens another flow.

Change: such a SYN is placed anew by the current route. Copies of a SYN still follow the confirmed owner.

Test: script reused_port_of_a_changed_route (delivered to a1 for bookdesk before, to a2 for kitdocs now).

--- a/internal/steering/place.go
+++ b/internal/steering/place.go
@@ -27,6 +27,7 @@
 	}
 	if now.Sub(f.firstSeen) >= openTimeout {
 		f.resetAttempts(now)
+		return t.place(now, k, r, f, h.Ack, raw, out)
 	}
 	retransmitted := h.Ack > f.retransmission
 	f.retransmission = max(f.retransmission, h.Ack)
