flowtable: a repeated answer of the host does not drop a held request

What callers would see: while the agent holds a flow's next request, the host sends its last answer again; the held request is dropped and waits for the client's retransmission (200 ms and more).

Cause: any data from the host ended the flow's request, also one that the host has not got.

Change: data ends a running request only.

Test: script answer_repeated_while_a_request_is_held (held 0 after the repeated answer before; 1 now, and forwarded when a slot is free).

--- a/internal/flowtable/outbound.go
+++ b/internal/flowtable/outbound.go
@@ -65,7 +65,7 @@
 		}
 		return out
 	}
-	if p.DataLen > 0 {
+	if p.DataLen > 0 && f.request.stage == running { // else it repeats an earlier answer
 		t.recordWork(now, f)
 		t.endRequest(now, f)
 	}
--- a/internal/flowtable/request.go
+++ b/internal/flowtable/request.go
@@ -126,11 +126,9 @@
 	}
 }
 
-// recordWork records the time that the host took for the request of a flow.
+// recordWork records the time that the host took for the running request of a flow.
 func (t *Table) recordWork(now time.Time, f *flow) {
-	if f.request.stage == running {
-		t.admission.RecordWork(f.route.id, t.clock(now)-f.request.forwardedAt)
-	}
+	t.admission.RecordWork(f.route.id, t.clock(now)-f.request.forwardedAt)
 }
 
 // endRequest ends the request of a flow, if there is one: it was answered, or the client
