daemon: SIGHUP does not end a daemon that starts or drains

Callers of the daemon met silence for up to a second.

Cause: SIGHUP was handled only while the settings file was watched. Before that, and after SIGTERM had ended the watch, the default action was back in place and ended the process.

Change: the signal is caught from the first step of RunReloadable until the process ends; the watch reads it from a channel. What remains are the milliseconds in which the runtime starts.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -12,15 +12,16 @@
 // since it may be replaced without a signal.
 const pollInterval = 2 * time.Second
 
-// WatchFile calls changed on SIGHUP and whenever the modification time or size of
-// the file differs, until ctx is done.
-func WatchFile(ctx context.Context, path string, changed func()) {
+// notifyReload returns a channel that receives SIGHUP until the process ends. Without it
+// the signal would end the process, also while that starts or drains.
+func notifyReload() <-chan os.Signal {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
-	watchFile(ctx, path, hup, changed)
+	return hup
 }
 
+// watchFile calls changed on each signal and whenever the modification time or size of
+// the file differs, until ctx is done.
 func watchFile(ctx context.Context, path string, hup <-chan os.Signal, changed func()) {
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
--- a/internal/daemon/reloadable.go
+++ b/internal/daemon/reloadable.go
@@ -22,6 +22,7 @@
 // output, and reloads its settings whenever the settings file at path changes. It
 // returns the exit code.
 func RunReloadable(name, path string, start func(l *log.Logger) (Reloadable, error)) int {
+	hup := notifyReload()
 	debug.SetGCPercent(gcPercent)
 	l, w := NewAsyncLogger()
 	defer w.Close()
@@ -35,7 +36,7 @@
 		done := make(chan struct{})
 		go func() {
 			defer close(done)
-			WatchFile(watchCtx, path, func() { reload(l, d) })
+			watchFile(watchCtx, path, hup, func() { reload(l, d) })
 		}()
 		err = d.Run(ctx)
 		cancel()
