--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -52,6 +52,11 @@
 	return flowtable.VM{Service: s.Service, Zone: s.Zone, Addr: s.HostAddr}
 }
 
+// isOnVM reports whether a sender is on the host's VM.
+func (s *Settings) isOnVM(sender netip.Addr) bool {
+	return sender == s.HostAddr.Addr() || sender.IsLoopback()
+}
+
 // Platform holds the agent's connections to the platform: stores, packet codec and
 // HTTP handlers.
 type Platform struct {
@@ -206,7 +211,11 @@
 func (a *Agent) readHost(ctx context.Context) error {
 	var out []flowtable.Action
 	onError := func(error) { a.counters.hostSocketErrors.Inc() }
-	udpio.Receive(ctx, a.hostConn, maxHostDatagram, onError, func(raw []byte, _ netip.AddrPort) {
+	udpio.Receive(ctx, a.hostConn, maxHostDatagram, onError, func(raw []byte, from netip.AddrPort) {
+		if !a.settings.isOnVM(from.Addr()) {
+			a.counters.invalidPackets.Inc()
+			return
+		}
 		out = a.handleHostPacket(raw, out[:0])
 	})
 	return nil
