--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -19,11 +19,11 @@
 
 // Report is a host's heartbeat.
 type Report struct {
-	ID        string // host ID, which may stay the same across restarts
-	StartTime int64  // start time of this incarnation in Unix milliseconds; 0 if unknown
-	Seq       uint64 // increases with each report of an incarnation
-	Service   string // service that the host runs
-	Zone      string
+	ID        string         // host ID, which may stay the same across restarts
+	StartTime int64          // start time of this incarnation in Unix milliseconds; 0 if unknown
+	Seq       uint64         // increases with each report of an incarnation
+	Service   string         // service that the host runs
+	Zone      string         // availability zone of the host
 	Addr      netip.AddrPort // where the host receives packets
 	State     HostState
 	Slots     int // number of requests that the host runs concurrently
@@ -32,8 +32,8 @@
 // VM is what the platform assigns to the agent's VM. It does not change while a host
 // runs there, so a report that differs from it is not of the VM's host.
 type VM struct {
-	Service string // service of the host; empty if not assigned
-	Zone    string
+	Service string         // service of the host; empty if not assigned
+	Zone    string         // availability zone
 	Addr    netip.AddrPort // where the host receives packets
 }
 
