steering: a target's end resets only flows that it has confirmed (FLOW)

Change: the end of a target resets only flows that it has confirmed to hold. Packets of a flow that a suspected target has not confirmed start a lookup.

Test: script owner_that_never_confirmed_is_gone (reset owner_gone before, a lookup now).

--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -140,8 +140,9 @@
 }
 
 // Remove removes a target that has ended. Once the list of targets is complete
-// it also resets the established flows that the target owned, so that their
-// clients need not wait for a timeout.
+// it also resets the established flows that the target has confirmed, so that their
+// clients need not wait for a timeout. A flow that was only placed on it may have been
+// opened at another target through another balancer; its owner is looked up.
 func (t *Table) Remove(now time.Time, agent netip.AddrPort, out []Action) []Action {
 	old := t.targets[agent]
 	if old == nil {
@@ -153,7 +154,7 @@
 		return out
 	}
 	for k, f := range t.flows {
-		if f.owner == agent && f.established {
+		if f.owner == agent && f.confirmed && f.established {
 			f.lostAt = now
 			out = append(out, Action{Op: Reset, Cause: OwnerGone, Flow: k, Agent: agent, ClientAck: f.clientAck})
 		}
@@ -192,7 +193,7 @@
 		f.established, f.clientAck, f.queuedOpen = !closes(h.Flags), h.Ack, nil
 	}
 	if f != nil && f.owner.IsValid() {
-		if owner := t.targets[f.owner]; owner != nil {
+		if owner := t.targets[f.owner]; owner != nil && (f.confirmed || !owner.Suspect) {
 			return append(out, Action{Op: Send, Cause: Known, Flow: k, Agent: f.owner, Kind: tunnel.Deliver, Class: owner.classOf(f), Packet: raw})
 		}
 	}
