--- a/internal/balancer/members.go
+++ b/internal/balancer/members.go
@@ -129,6 +129,7 @@
 		ConfigDigest:   b.catalog.Digest(),
 		CheckAgeMillis: b.checkedAgeMillis(now),
 		Settled:        b.completeness.Complete(now),
+		LacksMembers:   b.completeness.LacksMembers(),
 	}
 }
 
@@ -199,6 +200,7 @@
 	}
 	agent, _ := b.members.Get(m.From.Addr)
 	digest := b.members.ServiceDigest(number)
+	b.completeness.RecordHeartbeat(number, digest == m.Digest)
 	upToDate := agent.Name != "" && agent.State == m.From.State && generation <= m.From.Generation && digest == m.Digest
 	if upToDate && !m.WantReply {
 		return nil
@@ -262,7 +264,7 @@
 	}
 	b.fetchNewerServices(m)
 	b.updateCheckedAt(now, m)
-	b.completeness.RecordGossip(m.Settled, m.Digest == b.members.Digest())
+	b.completeness.RecordGossip(m.From.Addr, m.Settled, m.Digest == b.members.Digest(), m.LacksMembers)
 	if m.NoReply {
 		return nil
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -63,6 +63,7 @@
 	StoreEpoch       uint64           `cbor:"22,keyasint,omitempty"` // newest epoch of the platform's store that the sender knows
 	ConfigVersion    uint64           `cbor:"17,keyasint,omitempty"` // configuration version that the sender has applied
 	Settled          bool             `cbor:"19,keyasint,omitempty"` // whether the sender knows all members
+	LacksMembers     bool             `cbor:"23,keyasint,omitempty"` // whether agents know members that the sender does not
 	KnownIncarnation uint64           `cbor:"18,keyasint,omitempty"` // incarnation of the receiver, as the sender knows it
 	KnownState       roster.State     `cbor:"12,keyasint,omitempty"` // state of the receiver, as the sender knows it
 }
--- a/internal/roster/completeness.go
+++ b/internal/roster/completeness.go
@@ -1,6 +1,9 @@
 package roster
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 const (
 	// firstHeartbeats is the time after which a balancer that hears of no complete one
@@ -18,25 +21,54 @@
 // that it does not know a member proves nothing.
 type Completeness struct {
 	startedAt    time.Time
-	complete     bool
-	completePeer bool // a complete balancer has sent gossip
+	heard        bool            // a heartbeat or gossip has been received
+	agrees       bool            // a complete balancer has sent gossip with the same members
+	completePeer bool            // a complete balancer has sent gossip
+	differing    map[uint16]bool // services of which the agent heard last knows other agents than this balancer
+	lackingPeers map[netip.AddrPort]bool
 }
 
 // NewCompleteness returns the state of a balancer that starts now.
-func NewCompleteness(now time.Time) *Completeness { return &Completeness{startedAt: now} }
+func NewCompleteness(now time.Time) *Completeness {
+	return &Completeness{startedAt: now, differing: make(map[uint16]bool), lackingPeers: make(map[netip.AddrPort]bool)}
+}
 
-// RecordGossip records whether the sender of gossip is complete and has the same members
-// as this balancer.
-func (c *Completeness) RecordGossip(isComplete, sameMembers bool) {
+// RecordGossip records gossip of a peer: whether it is complete, whether it has the same
+// members as this balancer, and whether it lacks some.
+func (c *Completeness) RecordGossip(from netip.AddrPort, isComplete, sameMembers, lacksMembers bool) {
+	c.heard = true
 	if isComplete {
 		c.completePeer = true
-		c.complete = c.complete || sameMembers
+		c.agrees = c.agrees || sameMembers
+	}
+	if lacksMembers {
+		c.lackingPeers[from] = true
+	} else {
+		delete(c.lackingPeers, from)
+	}
+}
+
+// LacksMembers reports whether an agent knows other agents of its service than this
+// balancer does.
+func (c *Completeness) LacksMembers() bool { return len(c.differing) > 0 }
+
+// RecordHeartbeat records whether an agent of the service knows the same agents of it as
+// this balancer.
+func (c *Completeness) RecordHeartbeat(service uint16, sameAgents bool) {
+	c.heard = true
+	if sameAgents {
+		delete(c.differing, service)
+	} else {
+		c.differing[service] = true
 	}
 }
 
-// Complete reports whether the balancer knows all members.
+// Complete reports whether the balancer knows all members. Where no complete peer is
+// known, time decides, unless agents show this balancer or a peer that members are missing,
+// or nobody was heard: on a busy machine a balancer may have received little by then.
 func (c *Completeness) Complete(now time.Time) bool {
 	age := now.Sub(c.startedAt)
-	c.complete = c.complete || age >= maxIncomplete || !c.completePeer && age >= firstHeartbeats
-	return c.complete
+	missing := c.LacksMembers() || len(c.lackingPeers) > 0
+	byTime := age >= firstHeartbeats && c.heard && !c.completePeer && !missing
+	return c.agrees || byTime || age >= maxIncomplete
 }
--- a/internal/roster/completeness_test.go
+++ b/internal/roster/completeness_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
+	"github.com/go-quicktest/qt"
+
 	"skylarkturn/internal/script"
 )
 
@@ -19,8 +23,13 @@
 			case "wait":
 				now = now.Add(cmd.Duration(t, 0))
 				return nil
-			case "gossip": // gossip [complete] [same]
-				c.RecordGossip(cmd.HasArg("complete"), cmd.HasArg("same"))
+			case "gossip": // gossip [complete] [same] [lacking]
+				c.RecordGossip(netip.MustParseAddrPort("10.0.0.2:7000"), cmd.HasArg("complete"), cmd.HasArg("same"), cmd.HasArg("lacking"))
+				return nil
+			case "agent": // agent SERVICE agrees|differs: a heartbeat
+				number, err := strconv.ParseUint(cmd.Arg(0), 10, 16)
+				qt.Assert(t, qt.IsNil(err))
+				c.RecordHeartbeat(uint16(number), cmd.HasArg("agrees"))
 				return nil
 			case "complete":
 				return []string{fmt.Sprint(c.Complete(now))}
