--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -49,7 +49,8 @@
 	CatalogServices() []service.Service
 	Members() []roster.Member
 	ApplyService(s service.Service)
-	MembersComplete() bool // whether the balancer knows all members
+	MembersComplete() bool // whether the balancer knows all members, as far as can be expected
+	MembersCertain() bool  // whether a member that it does not know does not exist
 	CheckedAt() time.Time  // last time that the configuration was known to match the platform, zero if never
 	InForce(ctx context.Context, number uint16, generation uint32) []BalancerStatus
 	ExplainID(id []byte) (Explanation, error)
@@ -243,6 +244,9 @@
 		return nil, &Error{"make plan", KindNotReady, errors.New("this balancer has just started and does not know all members yet; try again")}
 	}
 	agents := h.agents(draft.Number)
+	if r, ok := plan.UnknownRule(&draft.Intent, agents); ok && !h.backend.MembersCertain() {
+		return nil, &Error{"make plan", KindNotReady, fmt.Errorf("target, host or zone %q is not known to this balancer, which may not know all members yet; try again", r.Target+r.Host+r.Zone)}
+	}
 	p, err := plan.Make(current, draft, agents, h.planKey)
 	if err != nil {
 		return nil, err
--- a/internal/admin/notready_test.go
+++ b/internal/admin/notready_test.go
@@ -23,7 +23,7 @@
 
 // startingBackend is a balancer that has just replaced another one. It knows the service,
 // but of its two targets only the first.
-type startingBackend struct{ complete bool }
+type startingBackend struct{ complete, uncertain bool }
 
 var bookdesk = service.Service{Name: "bookdesk", Tenant: "lensbridge", Number: 17, Addresses: []string{"127.0.0.1:443"}, Generation: 1}
 
@@ -32,6 +32,7 @@
 func (b *startingBackend) CatalogServices() []service.Service                       { return nil }
 func (b *startingBackend) ApplyService(service.Service)                             {}
 func (b *startingBackend) MembersComplete() bool                                    { return b.complete }
+func (b *startingBackend) MembersCertain() bool                                     { return b.complete && !b.uncertain }
 func (b *startingBackend) CheckedAt() time.Time                                     { return time.Time{} }
 func (b *startingBackend) ExplainID([]byte) (Explanation, error)                    { return Explanation{}, nil }
 func (b *startingBackend) InForce(context.Context, uint16, uint32) []BalancerStatus { return nil }
@@ -71,6 +72,17 @@
 	}
 }
 
+// TestUncertainBalancerDoesNotDenyTargets guards against a balancer that counts as complete
+// by its age alone and reports that a target does not exist.
+func TestUncertainBalancerDoesNotDenyTargets(t *testing.T) {
+	for target, want := range map[string]int{"bookdesk-2": http.StatusOK, "bookdesk-3": http.StatusServiceUnavailable} {
+		resp := requestPlan(t, &startingBackend{complete: true, uncertain: true}, target)
+		qt.Check(t, qt.Equals(resp.StatusCode, want), qt.Commentf("target %s", target))
+	}
+	resp := requestPlan(t, &startingBackend{complete: true}, "bookdesk-3")
+	qt.Check(t, qt.Equals(resp.StatusCode, http.StatusUnprocessableEntity))
+}
+
 // TestPlanNamesItsView checks that a plan says which members it rests on.
 func TestPlanNamesItsView(t *testing.T) {
 	resp := requestPlan(t, &startingBackend{complete: true}, "bookdesk-2")
--- a/internal/balancer/operators.go
+++ b/internal/balancer/operators.go
@@ -54,6 +54,13 @@
 	return b.completeness.Complete(time.Now())
 }
 
+// MembersCertain reports whether a member that the balancer does not know does not exist.
+func (b *Balancer) MembersCertain() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.completeness.Certain(time.Now())
+}
+
 // CheckedAt returns the last time that the configuration was known to match the
 // platform, or the zero time if it never was.
 func (b *Balancer) CheckedAt() time.Time {
--- a/internal/plan/plan.go
+++ b/internal/plan/plan.go
@@ -113,22 +113,30 @@
 	return nil
 }
 
-// checkTargets returns an error if a rule of the draft selects none of the known
-// agents. Without known agents it accepts every rule.
+// checkTargets returns an error if a rule of the draft selects none of the known agents.
 func (p *Plan) checkTargets(agents []roster.Member) error {
-	if len(agents) == 0 {
-		return nil
-	}
-	for i, r := range p.Draft.Intent.Rules {
-		if slices.ContainsFunc(agents, func(m roster.Member) bool { return selects(&r, &m) }) {
-			continue
-		}
+	if r, ok := UnknownRule(&p.Draft.Intent, agents); ok {
+		i := slices.Index(p.Draft.Intent.Rules, r)
 		return &Error{"make", KindInvalid, fmt.Errorf(
 			"intent.rules[%d]: target, host or zone %q is not known to service %q", i, r.Target+r.Host+r.Zone, p.Service)}
 	}
 	return nil
 }
 
+// UnknownRule returns the first rule of an intent that selects none of the known agents.
+// Without known agents it finds none.
+func UnknownRule(intent *service.Intent, agents []roster.Member) (r service.Rule, ok bool) {
+	if len(agents) == 0 {
+		return r, false
+	}
+	for _, r := range intent.Rules {
+		if !slices.ContainsFunc(agents, func(m roster.Member) bool { return selects(&r, &m) }) {
+			return r, true
+		}
+	}
+	return r, false
+}
+
 func selects(r *service.Rule, m *roster.Member) bool {
 	return r.Target == m.Name && r.Target != "" || r.Host == m.Host && r.Host != "" || r.Zone == m.Zone && r.Zone != ""
 }
--- a/internal/roster/completeness.go
+++ b/internal/roster/completeness.go
@@ -15,6 +15,10 @@
 	// case. In a large fleet digests may rarely be equal, because members change all the
 	// time; repairs have found what was missed by then.
 	maxIncomplete = 10 * time.Second
+
+	// maxUncertain is the time after which what a balancer does not know counts as
+	// missing in any case. Agents report again within seconds, even on a busy machine.
+	maxUncertain = time.Minute
 )
 
 // Completeness decides when a balancer that has started knows all members. Until then,
@@ -63,12 +67,18 @@
 	}
 }
 
-// Complete reports whether the balancer knows all members. Where no complete peer is
-// known, time decides, unless agents show this balancer or a peer that members are missing,
-// or nobody was heard: on a busy machine a balancer may have received little by then.
-func (c *Completeness) Complete(now time.Time) bool {
+// Certain reports whether a member that the balancer does not know does not exist. Where
+// no complete peer is known, time decides, unless agents show this balancer or a peer that
+// members are missing, or nobody was heard: on a busy machine a balancer may have received
+// little by then.
+func (c *Completeness) Certain(now time.Time) bool {
 	age := now.Sub(c.startedAt)
 	missing := c.LacksMembers() || len(c.lackingPeers) > 0
 	byTime := age >= firstHeartbeats && c.heard && !c.completePeer && !missing
-	return c.agrees || byTime || age >= maxIncomplete
+	return c.agrees || byTime || age >= maxUncertain
+}
+
+// Complete reports whether the balancer knows all members as far as can be expected.
+func (c *Completeness) Complete(now time.Time) bool {
+	return c.Certain(now) || now.Sub(c.startedAt) >= maxIncomplete
 }
--- a/internal/roster/completeness_test.go
+++ b/internal/roster/completeness_test.go
@@ -31,6 +31,8 @@
 				qt.Assert(t, qt.IsNil(err))
 				c.RecordHeartbeat(uint16(number), cmd.HasArg("agrees"))
 				return nil
+			case "certain":
+				return []string{fmt.Sprint(c.Certain(now))}
 			case "complete":
 				return []string{fmt.Sprint(c.Complete(now))}
 			}
