--- a/internal/roster/completeness.go
+++ b/internal/roster/completeness.go
@@ -67,15 +67,15 @@
 	}
 }
 
-// Certain reports whether a member that the balancer does not know does not exist. Where
-// no complete peer is known, time decides, unless agents show this balancer or a peer that
-// members are missing, or nobody was heard: on a busy machine a balancer may have received
-// little by then.
+// Certain reports whether a member that the balancer does not know does not exist. A
+// complete peer tells, or time where none is known and somebody was heard, unless agents
+// show this balancer or a peer that members are missing. On a busy machine a balancer may
+// have received little, and so may its peer.
 func (c *Completeness) Certain(now time.Time) bool {
 	age := now.Sub(c.startedAt)
+	byTime := age >= firstHeartbeats && c.heard && !c.completePeer
 	missing := c.LacksMembers() || len(c.lackingPeers) > 0
-	byTime := age >= firstHeartbeats && c.heard && !c.completePeer && !missing
-	return c.agrees || byTime || age >= maxUncertain
+	return (c.agrees || byTime) && !missing || age >= maxUncertain
 }
 
 // Complete reports whether the balancer knows all members as far as can be expected.
