--- a/review/stand2/host.go
+++ b/review/stand2/host.go
@@ -36,6 +36,9 @@
 	flows map[flowKey]*hostFlow
 	ended bool
 	beats int // acknowledged heartbeats
+
+	draining   bool
+	drainAcked time.Time // first acknowledgement of a heartbeat with the state draining
 }
 
 // hostFlow is the host's end of a flow.
@@ -104,14 +107,18 @@
 	tick := time.NewTicker(heartbeatInterval)
 	defer tick.Stop()
 	for seq := 1; ; seq++ {
+		state := h.state()
 		ok := h.beat(client, seq)
+		h.mu.Lock()
 		if ok {
-			h.mu.Lock()
 			h.beats++
-			h.mu.Unlock()
 		}
-		if !ok || seq <= 2 {
-			h.vm.site.rec.add("heartbeat %d of host %s on %s, acknowledged: %v", seq, h.id, h.vm.name, ok)
+		if ok && state == stateDraining && h.drainAcked.IsZero() {
+			h.drainAcked = time.Now()
+		}
+		h.mu.Unlock()
+		if !ok || seq <= 2 || state == stateDraining {
+			h.vm.site.rec.add("heartbeat %d of host %s on %s, %s, acknowledged: %v", seq, h.id, h.vm.name, state, ok)
 		}
 		select {
 		case <-h.stop:
@@ -121,10 +128,44 @@
 	}
 }
 
+// States that hosts report.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+)
+
+func (h *host) state() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.draining {
+		return stateDraining
+	}
+	return stateReady
+}
+
+// drain makes the host leave: it reports that it is draining, closes each flow after its
+// next response, and still accepts flows.
+func (h *host) drain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draining = true
+}
+
+// sinceDrainAck returns the time since the daemon acknowledged that the host is draining,
+// 0 if it has not.
+func (h *host) sinceDrainAck() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.drainAcked.IsZero() {
+		return 0
+	}
+	return time.Since(h.drainAcked)
+}
+
 func (h *host) beat(client *http.Client, seq int) bool {
 	body, err := json.Marshal(map[string]any{
 		"service": h.vm.service, "address": h.conn.LocalAddr().String(), "zone": zoneName, "version": "v1",
-		"max-concurrency": 3, "state": "ready", "warmup-left-ms": 0, "seq": seq, "born": h.born,
+		"max-concurrency": 3, "state": h.state(), "warmup-left-ms": 0, "seq": seq, "born": h.born,
 	})
 	if err != nil {
 		return false
@@ -182,25 +223,27 @@
 		h.send(raw)
 		return
 	}
+	if int32(p.ack-f.acked) > 0 {
+		f.acked = p.ack
+	}
 	reply := header{flags: flagACK, src: k.route, dst: k.client, seq: f.next, ack: p.seq + uint32(len(data))}
 	switch {
 	case f.closed && len(data) > 0:
 		reply.flags = flagRST
 		h.send(encode(reply, nil))
 		return
-	case f.closed:
+	case f.closed && p.flags&flagFIN != 0:
 		h.send(encode(reply, nil))
 		return
+	case f.closed:
+		return
 	case p.flags&flagRST != 0:
 		f.closed = true
 		return
 	}
 	if !f.established {
 		f.established = true
-		h.vm.site.rec.opened(k, h)
-	}
-	if int32(p.ack-f.acked) > 0 {
-		f.acked = p.ack
+		go h.vm.site.rec.opened(k, h)
 	}
 	if p.flags&flagFIN != 0 {
 		f.closed = true
@@ -252,7 +295,12 @@
 	time.Sleep(hostWork)
 	data := append([]byte("done "), request...)
 	h.mu.Lock()
-	answer := encode(header{flags: flagACK, src: k.route, dst: k.client, seq: f.next, ack: p.seq + uint32(len(request))}, data)
+	reply := header{flags: flagACK, src: k.route, dst: k.client, seq: f.next, ack: p.seq + uint32(len(request))}
+	if h.draining {
+		reply.flags |= flagFIN
+		f.closed = true
+	}
+	answer := encode(reply, data)
 	f.next += uint32(len(data))
 	end := f.next
 	f.answers[p.seq] = answer
@@ -267,7 +315,7 @@
 		}
 		retry = min(2*retry, maxRetry)
 		h.mu.Lock()
-		acked := int32(f.acked-end) >= 0 || f.closed
+		acked := int32(f.acked-end) >= 0
 		h.mu.Unlock()
 		if acked {
 			return
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -26,9 +26,11 @@
 }
 
 var scenarios = map[string]scenario{
-	"late-owner":   {"FLOW", lateOwner},
-	"unsaved-host": {"FLOW", unsavedHost},
-	"store-drill":  {"FLOW", storeDrill},
+	"late-owner":      {"FLOW", lateOwner},
+	"unsaved-host":    {"FLOW", unsavedHost},
+	"store-drill":     {"FLOW", storeDrill},
+	"late-heartbeat":  {"FLOW", lateHeartbeat},
+	"stray-heartbeat": {"DRAIN", strayHeartbeat},
 }
 
 // maxRun ends a case that hangs.
--- a/review/stand2/record.go
+++ b/review/stand2/record.go
@@ -9,7 +9,13 @@
 	"time"
 )
 
-// recorder writes down what was sent, answered and run, and checks the rules FLOW,
+// Bounds of the rules, as in the settings.
+const (
+	drainBound   = 3 * time.Second // drain-ms
+	stableWindow = 4 * time.Second // stable-window-ms
+)
+
+// recorder writes down what was sent, answered and run, and checks the rules FLOW, DRAIN,
 // MIXED and UNASKED.
 type recorder struct {
 	mu         sync.Mutex
@@ -47,12 +53,19 @@
 	r.line("BROKEN "+format, args...)
 }
 
-// opened records that a host has the end of the handshake of a flow.
+// opened records that a host has the end of the handshake of a flow. It breaks DRAIN if
+// that is later than the bound after the acknowledgement of the host's drain, and the
+// host's machine and the balancers are in touch.
 func (r *recorder) opened(k flowKey, h *host) {
+	drained := h.sinceDrainAck() // takes the host's lock, which goes before the recorder's
+	inTouch := h.vm.site.inTouch(h.vm)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.holders[k] = h
 	r.line("flow of %v is open at host %s on %s", k.client, h.id, h.vm.name)
+	if drained > drainBound && inTouch {
+		r.violate("DRAIN: flow of %v opens at host %s on %s, %.1f s after the acknowledgement of its drain", k.client, h.id, h.vm.name, drained.Seconds())
+	}
 }
 
 // sent records that a client sends a request.
--- a/review/stand2/site.go
+++ b/review/stand2/site.go
@@ -48,10 +48,11 @@
 	addr    netip.Addr
 	service string // of the host; empty for a balancer
 
-	mu      sync.Mutex
-	host    *host
-	process *os.Process
-	exited  chan struct{}
+	mu        sync.Mutex
+	host      *host
+	process   *os.Process
+	exited    chan struct{}
+	disturbed time.Time // last signal to the daemon, or start of it
 }
 
 func newSite(dir string, rec *recorder) (*site, error) {
@@ -207,7 +208,7 @@
 	}
 	exited := make(chan struct{})
 	v.mu.Lock()
-	v.process, v.exited = cmd.Process, exited
+	v.process, v.exited, v.disturbed = cmd.Process, exited, time.Now()
 	v.mu.Unlock()
 	go func() {
 		_ = cmd.Wait()
@@ -234,9 +235,26 @@
 	v.site.rec.add("%v to the daemon of %s", sig, v.name)
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.disturbed = time.Now()
 	_ = v.process.Signal(sig)
 }
 
+// inTouch reports whether a machine and all balancers have been undisturbed for the
+// stable window.
+func (s *site) inTouch(v *vm) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, o := range s.vms {
+		o.mu.Lock()
+		calm := time.Since(o.disturbed) > stableWindow
+		o.mu.Unlock()
+		if !calm && (o == v || o.service == "") {
+			return false
+		}
+	}
+	return true
+}
+
 // waitExit waits until the daemon has exited, at most for a time.
 func (v *vm) waitExit(within time.Duration) error {
 	select {
