steering: an acceptance is not ownership until the client acknowledges it

Cause: agents reported "my host has accepted this flow" and "my host holds it" in the same words. Several hosts can accept copies of one opening packet; only the client's acknowledgement decides. A balancer believed the last report, which an agent that woke from a freeze sent seconds late, and reset the flow when that agent fell silent again.

Change: the report of an acceptance carries the acceptance. The balancer compares its sequence number with the client's acknowledgement, as agents do, with the same function. Related paths: lookups, queries of restarted agents, ports that are used again.

Tests: late_acceptance_of_another_host, acceptance_without_the_clients_choice (steering) and acceptance_does_not_answer_a_query (flowtable) failed before.

--- a/internal/flowtable/action.go
+++ b/internal/flowtable/action.go
@@ -71,6 +71,15 @@
 	Objective  time.Duration // latency objective of the flow's requests
 }
 
+// acceptedReply returns the reply to a balancer that the host has accepted a new flow. It
+// contains the acceptance, raw on the wire, which shows whether the client's packets
+// acknowledge it.
+func acceptedReply(k packet.Key, to netip.AddrPort, raw []byte) Action {
+	a := ownedReply(k, to)
+	a.Packet = raw
+	return a
+}
+
 // ownedReply returns the reply to a balancer that the host holds the flow.
 func ownedReply(k packet.Key, to netip.AddrPort) Action {
 	return Action{Op: Reply, Cause: Usual, Flow: k, Balancer: to, Header: tunnel.Header{Kind: tunnel.Owned, Flow: k}}
--- a/internal/flowtable/outbound.go
+++ b/internal/flowtable/outbound.go
@@ -19,7 +19,7 @@
 		f = t.learnFlow(now, k, p)
 	}
 	if f != nil {
-		out = t.updateFromHost(now, k, f, p, out)
+		out = t.updateFromHost(now, k, f, p, raw, out)
 	}
 	out = append(out, Action{Op: ToClient, Cause: Usual, Flow: k, Packet: raw})
 	if len(t.started) > 0 {
@@ -46,25 +46,26 @@
 	return f
 }
 
-// updateFromHost updates a flow with a packet from the host and answers the
-// balancers that have queried its owner.
-func (t *Table) updateFromHost(now time.Time, k packet.Key, f *flow, p *packet.Header, out []Action) []Action {
+// updateFromHost updates a flow with a packet from the host, raw on the wire, and answers
+// the balancers that have placed it or queried its owner. An acceptance does not answer a
+// query: the client may have taken that of another host.
+func (t *Table) updateFromHost(now time.Time, k packet.Key, f *flow, p *packet.Header, raw []byte, out []Action) []Action {
 	f.lastPacketAt = now
 	if p.Flags.Has(packet.ACK) {
 		f.hostAck, f.hostAckValid = p.Ack, true
 	}
-	if q, ok := t.questions[k]; ok {
-		delete(t.questions, k)
-		out = append(out, ownedReply(k, q.balancer))
-	}
 	if p.Accepts() {
 		first := !f.accepted
 		f.acceptSeq, f.accepted = p.Seq, true
 		if first && f.balancer.IsValid() {
-			out = append(out, ownedReply(k, f.balancer))
+			out = append(out, acceptedReply(k, f.balancer, raw))
 		}
 		return out
 	}
+	if q, ok := t.questions[k]; ok {
+		delete(t.questions, k)
+		out = append(out, ownedReply(k, q.balancer))
+	}
 	if p.DataLen > 0 && f.request.stage == running { // else it repeats an earlier answer
 		t.recordWork(now, f)
 		t.endRequest(now, f)
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -263,14 +263,7 @@
 		case ToClient:
 			lines = append(lines, fmt.Sprintf("to client %s", flow))
 		case Reply:
-			s := fmt.Sprintf("reply to %s: %s owned", balancerName(a.Balancer), flow)
-			if a.Header.Kind == tunnel.Refused {
-				s = fmt.Sprintf("reply to %s: %s refused %s", balancerName(a.Balancer), flow, a.Header.Reason)
-			}
-			if a.Packet != nil {
-				s += ", packet returned"
-			}
-			lines = append(lines, s)
+			lines = append(lines, fmt.Sprintf("reply to %s: %s %s", balancerName(a.Balancer), flow, formatReply(&a)))
 		case Reset:
 			lines = append(lines, fmt.Sprintf("reset %s %s ack=%d", flow, a.Cause, a.ClientAck))
 		case Drop:
@@ -280,3 +273,17 @@
 	slices.Sort(lines)
 	return lines
 }
+
+// formatReply returns what the agent tells a balancer.
+func formatReply(a *Action) string {
+	hasPacket := a.Packet != nil
+	switch {
+	case a.Header.Kind == tunnel.Owned && hasPacket:
+		return "accepted"
+	case a.Header.Kind == tunnel.Owned:
+		return "owned"
+	case hasPacket:
+		return fmt.Sprintf("refused %s, packet returned", a.Header.Reason)
+	}
+	return fmt.Sprintf("refused %s", a.Header.Reason)
+}
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -16,7 +16,6 @@
 	closedTimeout       = 5 * time.Second  // how long packets of a closed flow are still forwarded to the host
 	openTimeout         = 70 * time.Second // above the maximum flow lifetime, see completeAfter
 	questionTimeout     = 2 * time.Second  // maximum time until the host answers or bounces a packet of an unknown flow
-	maxAckAdvance       = 1 << 20          // bytes a client may have acknowledged before its first packet arrives here
 	maxSweptPerTick     = 512              // flows checked for expiry in one Tick
 	maxPendingQuestions = 4096
 	minUnanswered       = 2 // unanswered packets before the host is suspected to be down
@@ -170,9 +169,10 @@
 }
 
 // ackMatches reports whether the client's acknowledgement number fits this host's
-// SYN-ACK. Copies of a SYN can reach several hosts, but the client acknowledges
-// the sequence number of only one of them.
-func (f *flow) ackMatches(ack uint32) bool { return f.accepted && ack-f.acceptSeq <= maxAckAdvance }
+// SYN-ACK.
+func (f *flow) ackMatches(ack uint32) bool {
+	return f.accepted && packet.AcksAcceptance(ack, f.acceptSeq)
+}
 
 // handleOpening handles a SYN.
 func (t *Table) handleOpening(now time.Time, from netip.AddrPort, h *tunnel.Header, k packet.Key, f *flow, raw []byte, out []Action) []Action {
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -114,6 +114,15 @@
 // Accepts reports whether the packet is a host's acceptance of a flow.
 func (h *Header) Accepts() bool { return h.Flags == SYN|ACK }
 
+// maxAckAdvance is the number of bytes that a client may have acknowledged in a flow
+// when the first of its packets is seen.
+const maxAckAdvance = 1 << 20
+
+// AcksAcceptance reports whether a client's acknowledgement number fits the sequence
+// number of a host's acceptance. Copies of an opening packet can reach several hosts,
+// and each may accept the flow, but the client acknowledges only one of them.
+func AcksAcceptance(ack, acceptSeq uint32) bool { return ack-acceptSeq <= maxAckAdvance }
+
 // MaxLen is the maximum length in bytes of a packet, header included.
 const MaxLen = 1236
 
--- a/internal/steering/action.go
+++ b/internal/steering/action.go
@@ -36,9 +36,10 @@
 	OwnerGone                    // the flow's owner has ended
 	Unsettled                    // the packet waits for a route or target, or the pending flows are at their limit
 	Waiting                      // a lookup or a queued opening packet of the flow is pending
+	NotChosen                    // the client has taken another host's acceptance of the flow
 )
 
-var causeNames = [...]string{"unknown", "known", "placed", "placed_again", "looked_up", "found", "no_route", "no_target", "all_refused", "lost", "owner_gone", "unsettled", "waiting"}
+var causeNames = [...]string{"unknown", "known", "placed", "placed_again", "looked_up", "found", "no_route", "no_target", "all_refused", "lost", "owner_gone", "unsettled", "waiting", "not_chosen"}
 
 // NumCauses is the length of an array indexed by Cause.
 const NumCauses = len(causeNames)
--- a/internal/steering/place.go
+++ b/internal/steering/place.go
@@ -12,7 +12,7 @@
 )
 
 // handleOpen handles a packet that opens a flow. A newer retransmission goes to
-// another target unless the first one has confirmed the flow.
+// another target unless the first one has accepted the flow.
 func (t *Table) handleOpen(now time.Time, k packet.Key, f *flow, h *packet.Header, raw []byte, out []Action) []Action {
 	r := t.routes.Lookup(k.Route)
 	if t.routes != nil && r == nil {
@@ -32,9 +32,9 @@
 	retransmitted := h.Ack > f.retransmission
 	f.retransmission = max(f.retransmission, h.Ack)
 	switch owner := t.targets[f.owner]; {
-	case owner != nil && (f.confirmed || !retransmitted):
+	case owner != nil && (f.ownership != placed || !retransmitted):
 		cause := Known
-		if !f.confirmed {
+		if f.ownership == placed {
 			cause = Placed
 		}
 		return append(out, Action{Op: Send, Cause: cause, Flow: k, Agent: f.owner, Kind: tunnel.Deliver, Service: owner.Service, Class: owner.classOf(f), Packet: raw})
@@ -47,7 +47,7 @@
 // place places a new flow of a route on a target that it has not been tried on. The route
 // is nil while there is no configuration.
 func (t *Table) place(now time.Time, k packet.Key, r *route.Route, f *flow, clientAck uint32, raw []byte, out []Action) []Action {
-	f.owner, f.confirmed = netip.AddrPort{}, false
+	f.clearOwner()
 	if r == nil {
 		return append(out, t.queueOpen(now, k, f, raw))
 	}
--- a/internal/steering/script_test.go
+++ b/internal/steering/script_test.go
@@ -87,6 +87,10 @@
 	case "owned":
 		h := tunnel.Header{Kind: tunnel.Owned, Flow: r.key(c.Arg(1))}
 		return r.format(r.table.HandleAnswer(r.now, r.agent(c.Arg(0)), &h, nil, nil, nil))
+	case "accepted":
+		p := packet.Header{Flags: packet.SYN | packet.ACK, Seq: uint32(c.Int(r.t, "seq"))}
+		h := tunnel.Header{Kind: tunnel.Owned, Flow: r.key(c.Arg(1))}
+		return r.format(r.table.HandleAnswer(r.now, r.agent(c.Arg(0)), &h, &p, []byte("accepted "+c.Arg(1)), nil))
 	case "refused":
 		return r.refused(c)
 	case "owner":
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -26,12 +26,23 @@
 	maxSweptPerTick       = 2048                    // flows checked for idleness in one tick
 )
 
+// ownership is what is known of the cached owner of a flow.
+type ownership uint8
+
+const (
+	placed   ownership = iota // the flow was placed on it
+	accepted                  // its host has accepted the flow; other hosts may have done so, too
+	held                      // its host holds the flow
+)
+
 // flow is the cached state of one flow.
 type flow struct {
 	owner          netip.AddrPort   // invalid while unknown
-	confirmed      bool             // the owner has reported that it holds the flow
+	ownership      ownership        // of owner
+	acceptSeq      uint32           // sequence number of the host's acceptance, if ownership is accepted
 	crowded        bool             // a target has refused it with tunnel.Crowded
 	established    bool             // the client has sent more than opening packets, and neither FIN nor RST
+	acked          bool             // the client has acknowledged an acceptance; clientAck is valid
 	retransmission uint32           // highest retransmission number of the opening packet, sent in its Ack field
 	tried          []netip.AddrPort // targets not to place the flow on again
 	firstSeen      time.Time        // first packet of the current attempt to open it
@@ -48,8 +59,27 @@
 // flow.
 func (f *flow) resetAttempts(now time.Time) {
 	f.firstSeen, f.crowded, f.retransmission, f.tried = now, false, 0, nil
+	f.established, f.acked = false, false
 }
 
+// clearOwner forgets the owner of a flow.
+func (f *flow) clearOwner() { f.owner, f.ownership = netip.AddrPort{}, placed }
+
+// recordAck records a packet of the client that does not open the flow.
+func (f *flow) recordAck(h *packet.Header) {
+	f.established, f.queuedOpen = !closes(h.Flags), nil
+	if h.Flags.Has(packet.ACK) {
+		f.acked, f.clientAck = true, h.Ack
+	}
+	if f.ownership == accepted && f.acked && packet.AcksAcceptance(f.clientAck, f.acceptSeq) {
+		f.ownership = held
+	}
+}
+
+// chosenElsewhere reports whether the client has taken the acceptance of another host
+// than the cached owner's.
+func (f *flow) chosenElsewhere() bool { return f.ownership == accepted && f.acked }
+
 // lookup is a search for the owner of a flow.
 type lookup struct {
 	outstanding []netip.AddrPort // queried agents that have not answered
@@ -140,8 +170,8 @@
 }
 
 // Remove removes a target that has ended. Once the list of targets is complete
-// it also resets the established flows that the target has confirmed, so that their
-// clients need not wait for a timeout. A flow that was only placed on it may have been
+// it also resets the established flows that the target holds, so that their clients need
+// not wait for a timeout. A flow that was placed on it, or accepted by it, may have been
 // opened at another target through another balancer; its owner is looked up.
 func (t *Table) Remove(now time.Time, agent netip.AddrPort, out []Action) []Action {
 	old := t.targets[agent]
@@ -154,7 +184,7 @@
 		return out
 	}
 	for k, f := range t.flows {
-		if f.owner == agent && f.confirmed && f.established {
+		if f.owner == agent && f.ownership == held && f.established {
 			f.lostAt = now
 			out = append(out, Action{Op: Reset, Cause: OwnerGone, Flow: k, Agent: agent, ClientAck: f.clientAck})
 		}
@@ -190,10 +220,10 @@
 		return t.handleOpen(now, k, f, h, raw, out)
 	}
 	if f != nil {
-		f.established, f.clientAck, f.queuedOpen = !closes(h.Flags), h.Ack, nil
+		f.recordAck(h)
 	}
-	if f != nil && f.owner.IsValid() {
-		if owner := t.targets[f.owner]; owner != nil && (f.confirmed || !owner.Suspect) {
+	if f != nil && f.owner.IsValid() && !f.chosenElsewhere() {
+		if owner := t.targets[f.owner]; owner != nil && (f.ownership != placed || !owner.Suspect) {
 			return append(out, Action{Op: Send, Cause: Known, Flow: k, Agent: f.owner, Kind: tunnel.Deliver, Class: owner.classOf(f), Packet: raw})
 		}
 	}
@@ -206,9 +236,9 @@
 			return append(out, Action{Op: Drop, Cause: NoRoute, Flow: k})
 		}
 		f = t.addFlow(now, k, r)
-		f.established, f.clientAck = true, h.Ack
+		f.recordAck(h)
 	}
-	f.owner, f.confirmed = netip.AddrPort{}, false
+	f.clearOwner()
 	return t.startLookup(now, k, f, raw, out)
 }
 
@@ -218,7 +248,10 @@
 // HandleAnswer decides on an agent's answer and appends the actions to out. The
 // packet p that came with it, raw on the wire, is nil when there was none.
 func (t *Table) HandleAnswer(now time.Time, from netip.AddrPort, h *tunnel.Header, p *packet.Header, raw []byte, out []Action) []Action {
-	if h.Kind == tunnel.Owned {
+	switch {
+	case h.Kind == tunnel.Owned && p != nil && p.Accepts():
+		return t.handleAccepted(now, from, h.Flow, p.Seq, out)
+	case h.Kind == tunnel.Owned:
 		return t.handleOwned(now, from, h.Flow, out)
 	}
 	f := t.flows[h.Flow]
@@ -234,21 +267,57 @@
 	if f.owner != from || p == nil {
 		return out
 	}
-	f.owner, f.confirmed = netip.AddrPort{}, false
+	f.clearOwner()
 	return t.startLookup(now, h.Flow, f, raw, out, from)
 }
 
-// handleOwned records the owner of a flow and sends it the packets buffered by a
-// lookup.
-func (t *Table) handleOwned(now time.Time, from netip.AddrPort, k packet.Key, out []Action) []Action {
+// handleAccepted handles a host's acceptance of a new flow, which may come long after
+// another host has accepted the flow. Once the client has acknowledged an acceptance, only
+// that one counts. Until then the first one does.
+func (t *Table) handleAccepted(now time.Time, from netip.AddrPort, k packet.Key, acceptSeq uint32, out []Action) []Action {
 	f := t.flows[k]
 	if f == nil {
 		f = t.addFlow(now, k, t.routes.Lookup(k.Route))
 	}
-	if n := t.targets[from]; n != nil && !f.confirmed && f.owner == from {
+	if f.acked && packet.AcksAcceptance(f.clientAck, acceptSeq) {
+		return t.handleOwned(now, from, k, out)
+	}
+	t.recordAnswer(now, from, k, f)
+	switch {
+	case f.owner == from && f.ownership == held:
+		return out
+	case f.acked:
+		return append(out, Action{Op: Drop, Cause: NotChosen, Flow: k, Agent: from})
+	case f.owner != from && f.ownership == accepted && t.isReachable(f.owner):
+		return out
+	}
+	f.owner, f.ownership, f.acceptSeq, f.lastUsed, f.lostAt = from, accepted, acceptSeq, now, time.Time{}
+	return out
+}
+
+// recordAnswer records an acceptance if the flow was placed on the agent, which has not
+// answered before.
+func (t *Table) recordAnswer(now time.Time, from netip.AddrPort, k packet.Key, f *flow) {
+	if n := t.targets[from]; n != nil && f.owner == from && f.ownership == placed {
 		t.recordAcceptance(now, n, k.Route)
 	}
-	f.owner, f.confirmed, f.lastUsed, f.lostAt = from, true, now, time.Time{}
+}
+
+// isReachable reports whether the agent is a target whose heartbeats are not overdue.
+func (t *Table) isReachable(agent netip.AddrPort) bool {
+	n := t.targets[agent]
+	return n != nil && !n.Suspect
+}
+
+// handleOwned records the holder of a flow and sends it the packets buffered by a
+// lookup.
+func (t *Table) handleOwned(now time.Time, from netip.AddrPort, k packet.Key, out []Action) []Action {
+	f := t.flows[k]
+	if f == nil {
+		f = t.addFlow(now, k, t.routes.Lookup(k.Route))
+	}
+	t.recordAnswer(now, from, k, f)
+	f.owner, f.ownership, f.lastUsed, f.lostAt = from, held, now, time.Time{}
 	l := f.lookup
 	if l == nil {
 		return out
--- a/internal/tunnel/tunnel.go
+++ b/internal/tunnel/tunnel.go
@@ -27,7 +27,7 @@
 const (
 	Deliver   Kind = iota + 1 // balancer to agent: a packet of a flow that belongs to the agent's host
 	Ask                       // balancer to agent: like Deliver, but always answered
-	Owned                     // agent to balancer: the host holds or has accepted the flow
+	Owned                     // agent to balancer: the host holds the flow, or has accepted it with the packet in the datagram
 	Refused                   // agent to balancer: the packet was not forwarded to the host, or the host returned it
 	Questions                 // balancer to agent: questions whether the host holds flows
 	Answers                   // agent to balancer: answers to a Questions datagram
