steering: a silent target's idle flows are given up later than its place

Callers lost all idle flows of a VM that froze for 2 s: balancers reset them 1.45 to 1.7 s after its last heartbeat, though its host held them and the agent was back 0.4 s later.

Cause: removing a silent target from placement and giving up its flows were one step. Silence does not tell a dead VM from a paused or cut one.

Ruled out: never resetting them (requests that may not be repeated would be lost on dead flows); a longer timeout for both (new flows would wait for a dead agent).

Change: Remove takes whether the target has ended. If it has only fallen silent, its flows are reset when their clients use them, at once, or after another 2.5 s; if it is back, not at all.

Test: script silent_agent_keeps_its_idle_flows failed before. TestExplainSilenceOfDarkVM still finds owner_gone.

--- a/internal/packetbalancer/members.go
+++ b/internal/packetbalancer/members.go
@@ -95,10 +95,17 @@
 			removed = append(removed, t.Agent)
 		}
 	})
+	for a := range b.steering.SilentTargets() {
+		if m, ok := members.Get(a); ok && m.State.Ended() {
+			removed = append(removed, a)
+		}
+	}
 	for _, a := range removed {
+		m, ok := members.Get(a)
+		ended := !ok || m.State.Ended()
 		before := len(out)
-		out = b.steering.Remove(now, a, out)
-		b.log.Info().Str("event", "target_removed").Stringer("agent", a).Int("flows_reset", len(out)-before).Msg("")
+		out = b.steering.Remove(now, a, ended, out)
+		b.log.Info().Str("event", "target_removed").Stringer("agent", a).Bool("ended", ended).Int("flows_reset", len(out)-before).Msg("")
 	}
 	return out
 }
--- a/internal/steering/script_test.go
+++ b/internal/steering/script_test.go
@@ -78,7 +78,7 @@
 		r.table.Put(r.now, r.parseTarget(c), !c.HasArg("gossip"))
 		return nil
 	case "remove":
-		return r.format(r.table.Remove(r.now, r.agent(c.Arg(0)), nil))
+		return r.format(r.table.Remove(r.now, r.agent(c.Arg(0)), !c.HasArg("silent"), nil))
 	case "tick":
 		return r.format(r.table.Tick(r.now, nil))
 	case "syn", "data", "fin":
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -1,6 +1,8 @@
 package steering
 
 import (
+	"iter"
+	"maps"
 	"net/netip"
 	"time"
 
@@ -23,6 +25,7 @@
 	lookupTimeout         = 4 * time.Second         // an unfinished lookup is abandoned without a reset
 	openTimeout           = 1400 * time.Millisecond // a client stops retransmitting its opening packet by then
 	lostFlowResetPeriod   = 2 * time.Second         // packets of a lost flow are reset without another lookup
+	silentTargetTimeout   = 2500 * time.Millisecond // a VM that was paused or cut off for a few seconds is back by then
 	maxSweptPerTick       = 2048                    // flows checked for idleness in one tick
 )
 
@@ -96,8 +99,9 @@
 // for concurrent use.
 type Table struct {
 	routes      *route.Table
-	targets     map[netip.AddrPort]*target // by agent
-	services    map[string]*targetGroup    // by service name
+	targets     map[netip.AddrPort]*target   // by agent
+	services    map[string]*targetGroup      // by service name
+	silent      map[netip.AddrPort]time.Time // targets that were removed because they had fallen silent, and when
 	flows       map[packet.Key]*flow
 	pending     map[packet.Key]*flow // flows with a lookup or a queued opening packet
 	settled     bool                 // targets is complete
@@ -110,6 +114,7 @@
 	return &Table{
 		targets:  make(map[netip.AddrPort]*target),
 		services: make(map[string]*targetGroup),
+		silent:   make(map[netip.AddrPort]time.Time),
 		flows:    make(map[packet.Key]*flow),
 		pending:  make(map[packet.Key]*flow),
 	}
@@ -142,6 +147,7 @@
 // there before. Put reports whether the target is new or differs in anything but
 // its load.
 func (t *Table) Put(now time.Time, update Target, fresh bool) bool {
+	delete(t.silent, update.Agent)
 	old := t.targets[update.Agent]
 	if old == nil {
 		old = &target{hash: agentHash(update.Agent), crowding: make(map[packet.Endpoint]*crowding)}
@@ -169,22 +175,32 @@
 	return before != update
 }
 
-// Remove removes a target that has ended. Once the list of targets is complete
-// it also resets the established flows that the target holds, so that their clients need
-// not wait for a timeout. A flow that was placed on it, or accepted by it, may have been
-// opened at another target through another balancer; its owner is looked up.
-func (t *Table) Remove(now time.Time, agent netip.AddrPort, out []Action) []Action {
-	old := t.targets[agent]
-	if old == nil {
+// Remove removes a target that has ended or fallen silent. If it has ended, the flows that
+// it holds are reset. The host of a silent one may still hold them, so that they are
+// reset only when their clients use them, or after silentTargetTimeout.
+func (t *Table) Remove(now time.Time, agent netip.AddrPort, ended bool, out []Action) []Action {
+	if old := t.targets[agent]; old != nil {
+		t.removeFromGroup(old)
+		delete(t.targets, agent)
+		t.silent[agent] = now
+	}
+	if _, ok := t.silent[agent]; !ok || !ended {
 		return out
 	}
-	t.removeFromGroup(old)
-	delete(t.targets, agent)
+	return t.endSilent(now, agent, out)
+}
+
+// endSilent ends the wait for a silent target. Once the list of targets is complete it
+// resets the established flows that the target holds, so that their clients need not wait
+// for a timeout. A flow that was placed on it, or accepted by it, may have been opened at
+// another target through another balancer; its owner is looked up.
+func (t *Table) endSilent(now time.Time, agent netip.AddrPort, out []Action) []Action {
+	delete(t.silent, agent)
 	if !t.settled {
 		return out
 	}
 	for k, f := range t.flows {
-		if f.owner == agent && f.ownership == held && f.established {
+		if f.owner == agent && f.ownership == held && f.established && f.lostAt.IsZero() {
 			f.lostAt = now
 			out = append(out, Action{Op: Reset, Cause: OwnerGone, Flow: k, Agent: agent, ClientAck: f.clientAck})
 		}
@@ -192,6 +208,19 @@
 	return out
 }
 
+// heldBySilent reports whether a flow is held by a target that has fallen silent, so that
+// no other target can hold it.
+func (t *Table) heldBySilent(f *flow) bool {
+	if f.ownership != held || !t.settled {
+		return false
+	}
+	_, silent := t.silent[f.owner]
+	return silent
+}
+
+// SilentTargets returns the removed targets that may still hold flows.
+func (t *Table) SilentTargets() iter.Seq[netip.AddrPort] { return maps.Keys(t.silent) }
+
 // Targets calls f for each target.
 func (t *Table) Targets(f func(Target)) {
 	for _, n := range t.targets {
@@ -227,6 +256,9 @@
 			return append(out, Action{Op: Send, Cause: Known, Flow: k, Agent: f.owner, Kind: tunnel.Deliver, Class: owner.classOf(f), Packet: raw})
 		}
 	}
+	if f != nil && t.heldBySilent(f) {
+		f.lostAt = now
+	}
 	if f != nil && now.Sub(f.lostAt) < lostFlowResetPeriod {
 		return append(out, Action{Op: Reset, Cause: Lost, Flow: k, ClientAck: h.Ack})
 	}
@@ -330,8 +362,8 @@
 	return out
 }
 
-// Tick retries queued opening packets, continues lookups, evicts idle flows and
-// appends the actions to out.
+// Tick retries queued opening packets, continues lookups, gives up silent targets, evicts
+// idle flows and appends the actions to out.
 func (t *Table) Tick(now time.Time, out []Action) []Action {
 	t.queryBudget = maxQueriesPerTick
 	out = t.retryQueued(now, out)
@@ -340,6 +372,11 @@
 			out = t.continueLookup(now, k, f, out)
 		}
 	}
+	for agent, since := range t.silent {
+		if now.Sub(since) >= silentTargetTimeout {
+			out = t.endSilent(now, agent, out)
+		}
+	}
 	n := 0
 	for k, f := range t.flows {
 		if n++; n > maxSweptPerTick {
