--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -200,7 +200,8 @@
 		return out
 	}
 	for k, f := range t.flows {
-		if f.owner == agent && f.ownership == held && f.established && f.lostAt.IsZero() {
+		wasReset := !f.lostAt.IsZero()
+		if f.owner == agent && f.ownership == held && f.established && !wasReset {
 			f.lostAt = now
 			out = append(out, Action{Op: Reset, Cause: OwnerGone, Flow: k, Agent: agent, ClientAck: f.clientAck})
 		}
@@ -258,6 +259,7 @@
 	}
 	if f != nil && t.heldBySilent(f) {
 		f.lostAt = now
+		return append(out, Action{Op: Reset, Cause: OwnerGone, Flow: k, Agent: f.owner, ClientAck: h.Ack})
 	}
 	if f != nil && now.Sub(f.lostAt) < lostFlowResetPeriod {
 		return append(out, Action{Op: Reset, Cause: Lost, Flow: k, ClientAck: h.Ack})
