flowtable: the number of a report does not overflow the host's age

A restarted agent could take its empty table for complete, and deny its host's idle flows, when the host's heartbeats had a very large number.

Cause: number times interval, in nanoseconds, wraps around from 7,686,143,364 reports on at 1.2 s.

Change: the age by reports stops growing at 2^20 reports.

--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -85,17 +85,21 @@
 // has missed one.
 func (t *Table) missedReportTimeout() time.Duration { return t.reportInterval + maxReportDelay }
 
-// maxAge returns an upper bound of the host's age, from the number of its reports.
-func (t *Table) maxAge(r Report) time.Duration {
-	return time.Duration(r.Seq)*t.reportInterval + maxReportDelay
-}
+// maxCountedReports bounds the number of reports that a host's age is derived from. Any
+// flow is younger than a host with more of them.
+const maxCountedReports = 1 << 20
 
-// startedRecently reports whether the host is at most maxRecentAge old, from the
-// number of its reports.
-func (t *Table) startedRecently(r Report) bool {
-	return time.Duration(r.Seq)*t.reportInterval <= maxRecentAge
+// reportedAge returns the host's age by the number of its reports.
+func (t *Table) reportedAge(r Report) time.Duration {
+	return time.Duration(min(r.Seq, maxCountedReports)) * t.reportInterval
 }
 
+// maxAge returns an upper bound of the host's age.
+func (t *Table) maxAge(r Report) time.Duration { return t.reportedAge(r) + maxReportDelay }
+
+// startedRecently reports whether the host is at most maxRecentAge old.
+func (t *Table) startedRecently(r Report) bool { return t.reportedAge(r) <= maxRecentAge }
+
 // shutdownGrace is the time between a host's shutdown notice and its exit. Its
 // flows are reset after that, because it may still answer requests until then.
 const shutdownGrace = 150 * time.Millisecond
