platform: one odd entry does not hide the others of a list

With one entry of another writer that is nested 100,000 deep, balancers never became ready and agents without seeds found no balancer: every read of the list failed.

Cause: lists and watches were decoded in one piece, and encoding/json refuses the whole of it.

Evidence: TestOddEntriesHideNoOthers with the reader of: 0 of 2 balancers ready after 15 s. Ruled out: ports out of range and numbers too large inside an entry (skipped before); a crash.

The store's stand-in can now answer with what is no JSON.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -102,10 +102,15 @@
 }
 
 // Client is a client of the object API.
-type Client struct{ http *HTTPClient }
+type Client struct {
+	http           *HTTPClient
+	skippedCounter *metrics.Counter
+}
 
 // NewClient returns a client of the object API at the URL base.
-func NewClient(base string, hc *http.Client) *Client { return &Client{NewHTTPClient(base, hc)} }
+func NewClient(base string, hc *http.Client) *Client {
+	return &Client{NewHTTPClient(base, hc), metrics.GetOrCreateCounter(`skylark_platform_objects_skipped_total`)}
+}
 
 // Get returns one object.
 func (c *Client) Get(ctx context.Context, kind, name string) (Object, error) {
@@ -151,13 +156,48 @@
 	if err != nil {
 		return List{}, err
 	}
-	var l List
-	if err := json.Unmarshal(body, &l); err != nil {
+	l, err := c.decodeList(body)
+	if err != nil {
 		return List{}, &Error{Op: "list", Kind: KindUnavailable, Err: err}
 	}
 	return l, nil
 }
 
+// decodeList decodes a List. It leaves out objects of another writer, whose name or
+// version can't be decoded, and counts them.
+func (c *Client) decodeList(body []byte) (l List, err error) {
+	fields, err := SplitObject(body)
+	if err != nil {
+		return l, err
+	}
+	if err := DecodeField(fields, "revision", &l.Revision); err != nil {
+		return l, err
+	}
+	items, err := SplitArray(fields["items"])
+	for _, raw := range items {
+		o, err := decodeObject(raw)
+		if err != nil {
+			c.skippedCounter.Inc()
+			continue
+		}
+		l.Items = append(l.Items, o)
+	}
+	return l, err
+}
+
+// decodeObject decodes an object of a list but its value.
+func decodeObject(raw []byte) (o Object, err error) {
+	fields, err := SplitObject(raw)
+	if err == nil {
+		err = DecodeField(fields, "name", &o.Name)
+	}
+	if err == nil {
+		err = DecodeField(fields, "version", &o.Version)
+	}
+	o.Value = fields["value"]
+	return o, err
+}
+
 // call executes a call and returns the body of the answer and its entity tag.
 func (c *Client) call(ctx context.Context, timeout time.Duration, method, path string, h http.Header, body []byte) ([]byte, string, error) {
 	resp, err := c.http.Do(ctx, Request{Method: method, Path: path, Header: h, Body: body, Timeout: timeout})
--- a/internal/platformstand/site.go
+++ b/internal/platformstand/site.go
@@ -49,6 +49,7 @@
 	activeRoutes  []packet.Endpoint // that clients use
 	allow         map[packet.Endpoint][]string
 	bootstrap     bool // daemons start as those of a new deployment
+	withoutSeeds  bool // daemons find each other only in the store
 }
 
 // ports are the ports of daemons and hosts, the same on every VM.
@@ -340,10 +341,12 @@
 		"node-name=" + v.Name, "zone=" + zone, "ip=" + v.Addr.String(),
 		"listen.datagram-addr=" + at(p.packets), "listen.readiness-addr=" + at(p.ready), "listen.control=" + at(p.control),
 		fmt.Sprintf("port-range=%d,%d", p.inner, p.inner+1),
-		fmt.Sprintf("seeds=%v:%d,%v:%d", s.vmAddr(0), p.control, s.vmAddr(1), p.control),
 		fmt.Sprint("bootstrap=", s.bootstrap), "bounds.grace-s=6",
 		"platform.address=" + s.storeProxy.addr(),
 	}
+	if !s.withoutSeeds {
+		lines = append(lines, fmt.Sprintf("seeds=%v:%d,%v:%d", s.vmAddr(0), p.control, s.vmAddr(1), p.control))
+	}
 	if v.Service != "" {
 		lines = append(lines, "listen.outbound="+at(p.outbound), "app="+at(p.app), "service="+v.Service)
 	}
--- a/internal/platformstand/store.go
+++ b/internal/platformstand/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -42,10 +43,9 @@
 
 // event is a change of an object, as watches return it.
 type event struct {
-	Object  object `json:"object"`
-	Deleted bool   `json:"deleted"`
-
-	kind string
+	Object  object
+	Deleted bool
+	kind    string
 }
 
 // change is a write as Restore needs it.
@@ -106,6 +106,14 @@
 	return nil
 }
 
+// PutOdd writes an object as another writer may leave it: spec need not be valid JSON, but
+// its brackets match.
+func (s *Store) PutOdd(kind, name, spec string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.put(kind, name, json.RawMessage(spec), false)
+}
+
 // Restore replaces the content by a copy of the given age. Revisions go on from that of
 // the copy, the epoch rises by one, and what the operator has written since is written
 // again.
@@ -207,7 +215,49 @@
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(response) // the caller may have gone
+	_, _ = w.Write(encode(response)) // the caller may have gone
+}
+
+// encode returns a response as JSON. It copies the content of objects, which another
+// writer may have left in a form that encoders refuse.
+func encode(response any) []byte {
+	switch r := response.(type) {
+	case object:
+		return r.append(nil)
+	case listResponse:
+		return r.append(nil)
+	}
+	return []byte("null")
+}
+
+// append appends the encoded object to b.
+func (o object) append(b []byte) []byte {
+	name, _ := json.Marshal(o.Meta.Name) // can't fail for a string
+	b = fmt.Appendf(b, `{"meta":{"name":%s,"revision":%d},"spec":`, name, o.Meta.Revision)
+	if len(o.Spec) == 0 {
+		b = append(b, "null"...)
+	}
+	return append(append(b, o.Spec...), '}')
+}
+
+// append appends the encoded list to b.
+func (l listResponse) append(b []byte) []byte {
+	b = append(b, `{"items":[`...)
+	for i, o := range l.Items {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = o.append(b)
+	}
+	b = append(b, `],"events":[`...)
+	for i, e := range l.Events {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = e.Object.append(append(b, `{"object":`...))
+		b = fmt.Appendf(b, `,"deleted":%v}`, e.Deleted)
+	}
+	return fmt.Appendf(b, `],"has-more":%v,"current-rev":%d}`, l.More, l.Revision)
 }
 
 // call serves a call without faults and returns its status, its response and the epoch
@@ -253,10 +303,10 @@
 
 // listResponse is the response to a list or watch.
 type listResponse struct {
-	Items    []object `json:"items,omitempty"`
-	Events   []event  `json:"events"`
-	More     bool     `json:"has-more"`
-	Revision uint64   `json:"current-rev"`
+	Items    []object
+	Events   []event
+	More     bool
+	Revision uint64
 }
 
 // list returns the objects of a kind, sorted by name.
