--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -72,11 +72,9 @@
 	return verdictNames[0]
 }
 
-// maxRecentAge is the age up to which a host that is new to the agent is assumed to
-// have started after the agent, or together with it, if an earlier process of the agent
-// is not known to have heard the host. Asking all hosts of a fleet about every flow that
-// ended in a power loss would cost more.
-const maxRecentAge = 4 * time.Second
+// maxRecentAge is the age up to which a host without a start time that is new to the agent
+// is assumed to have started after the host of the previous snapshot.
+const maxRecentAge = 4500 * time.Millisecond
 
 // maxReportDelay is the maximum network delay of a report.
 const maxReportDelay = 500 * time.Millisecond
@@ -89,17 +87,11 @@
 // flow is younger than a host with more of them.
 const maxCountedReports = 1 << 20
 
-// reportedAge returns the host's age by the number of its reports.
-func (t *Table) reportedAge(r Report) time.Duration {
-	return time.Duration(min(r.Seq, maxCountedReports)) * t.reportInterval
+// maxAge returns an upper bound of the host's age, from the number of its reports.
+func (t *Table) maxAge(r Report) time.Duration {
+	return time.Duration(min(r.Seq, maxCountedReports))*t.reportInterval + maxReportDelay
 }
 
-// maxAge returns an upper bound of the host's age.
-func (t *Table) maxAge(r Report) time.Duration { return t.reportedAge(r) + maxReportDelay }
-
-// startedRecently reports whether the host is at most maxRecentAge old.
-func (t *Table) startedRecently(r Report) bool { return t.reportedAge(r) <= maxRecentAge }
-
 // shutdownGrace is the time between a host's shutdown notice and its exit. Its
 // flows are reset after that, because it may still answer requests until then.
 const shutdownGrace = 150 * time.Millisecond
@@ -129,7 +121,7 @@
 // the flows that are older than the incarnation can be. Younger flows may belong to
 // it, and it bounces packets of those that don't.
 func (t *Table) HandleReport(now time.Time, r Report, out []Action) (Verdict, []Action) {
-	old, known := t.host, t.host.ID != ""
+	old, known, lastAt := t.host, t.host.ID != "", t.lastReport
 	same := known && old.ID == r.ID && old.StartTime == r.StartTime
 	switch {
 	case !t.vm.matches(&r) && !(same && old.Service == r.Service): // the settings may change before the host does
@@ -144,7 +136,8 @@
 	t.unanswered = unansweredPackets{}
 	t.departure = departure{drainAnnounced: r.State == HostDraining || same && t.departure.drainAnnounced}
 	if same {
-		out = t.resetPreviousIfReplaced(r.Seq > old.Seq, out)
+		t.recordNextReport(now, old.Seq, lastAt)
+		out = t.resetPreviousIfReplaced(out)
 		if old.State != r.State || old.Service != r.Service {
 			return Changed, out
 		}
@@ -154,27 +147,53 @@
 		t.recordEnded(old)
 		out = t.endFlowsBefore(now, now.Add(-t.maxAge(r)), HostRestarted, out)
 	}
-	t.joinedRecent = t.startedRecently(r)
-	if t.joinedRecent && t.unknownToPredecessor() || now.Sub(t.startedAt) > t.maxAge(r) {
-		t.complete = true // all flows of the host were opened through this agent process
-	}
-	return Joined, t.forwardStarted(now, t.resetPreviousIfReplaced(t.joinedRecent, out))
+	t.recordJoined(now, known)
+	return Joined, t.forwardStarted(now, t.resetPreviousIfReplaced(out))
 }
 
-// unknownToPredecessor reports whether no earlier process of the agent has heard the
-// host, as far as the store tells: a process saves a snapshot as soon as it hears a host.
-func (t *Table) unknownToPredecessor() bool {
-	p := &t.predecessor
-	return p.known && !p.outdated && p.host != incarnation{t.host.ID, t.host.StartTime}
+// firstSeq is the number of the first report of an incarnation.
+const firstSeq = 1
+
+// origin is what the agent knows of the start of the current incarnation, compared with
+// its own.
+type origin struct {
+	confirmed    bool // two reports in a row have come: the incarnation runs
+	young        bool // it had started at most maxRecentAge before its first report came
+	heardFirst   bool // its first report has come to this agent process, and all since
+	afterAnother bool // it was preceded by an incarnation that ended after the agent had started
 }
 
-// predecessor is what the store's snapshot tells of the agent's earlier process.
-type predecessor struct {
-	known    bool        // the snapshot was read
-	outdated bool        // as in Snapshot
-	host     incarnation // host of the snapshot; zero if there is none
+// recordJoined handles the first report of an incarnation. One that has replaced another may
+// be older than the agent if the report of that was a late one.
+func (t *Table) recordJoined(now time.Time, replaced bool) {
+	t.origin = origin{young: t.maxAge(t.host) <= maxRecentAge, heardFirst: t.host.Seq == firstSeq, afterAnother: t.onlyNewHosts}
+	if replaced && !t.onlyNewHosts && now.Sub(t.startedAt) <= completeAfter {
+		t.complete = false
+	}
 }
 
+// recordNextReport handles a report of the current incarnation after that with the number
+// before, received at lastAt. Once two have come in a row, an incarnation that started after
+// the agent has all its flows in the table. Nothing but its own reports shows this: the
+// absence of a record of an earlier agent process does not show that there was none.
+func (t *Table) recordNextReport(now time.Time, before uint64, lastAt time.Time) {
+	o := &t.origin
+	if t.host.Seq > before+1 {
+		o.heardFirst = false
+	}
+	if t.host.Seq != before+1 || now.Sub(lastAt) < t.reportInterval/2 { // late ones arrive together
+		return
+	}
+	o.confirmed = true
+	if o.heardFirst || o.afterAnother || now.Sub(t.startedAt) > t.maxAge(t.host) {
+		t.complete = true
+	}
+	t.onlyNewHosts = true // another one can run only after this one has ended
+}
+
+// recordVacant records that no host runs: the table has all flows of any later host.
+func (t *Table) recordVacant() { t.complete, t.onlyNewHosts = true, true }
+
 // isLate reports whether a report of the known incarnation is older than what it has
 // said last. A host that has deregistered but goes on to report has not ended.
 func (t *Table) isLate(now time.Time, r *Report) bool {
--- a/internal/flowtable/hostcheck.go
+++ b/internal/flowtable/hostcheck.go
@@ -65,7 +65,7 @@
 	}
 	t.registered = false
 	t.departure.unproven = false
-	t.complete = true
+	t.recordVacant()
 	t.previousHostEnded = true
 	out = t.resetPreviousFlows(HostEnded, out)
 	for k, q := range t.questions {
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -97,15 +97,10 @@
 		return r.fromHost(c)
 	case "suspected":
 		return []string{fmt.Sprint(r.table.HostSuspected(r.now))}
-	case "previous": // previous h1 [outdated] c1=ACK c2=ACK [start=MS]
+	case "previous": // previous h1|none [outdated] c1=ACK c2=ACK [start=MS]
 		return r.setPreviousSnapshot(c)
 	case "snapshot":
 		return r.snapshot()
-	case "saved": // saved: prints whether the snapshot is to be saved for its host, and takes it
-		s := r.table.Snapshot(r.now)
-		names := s.NamesNewHost(r.lastSnapshot)
-		r.lastSnapshot = s
-		return []string{fmt.Sprint(names)}
 	case "check":
 		results := map[string]CheckResult{"unclear": HostUnclear, "listening": HostListening, "absent": HostAbsent}
 		if service, ok := c.Options["service"]; ok {
@@ -125,7 +120,11 @@
 }
 
 func (r *runner) setPreviousSnapshot(c script.Command) []string {
-	s := Snapshot{HostID: c.Arg(0), Flows: make(map[packet.Key]uint32), Outdated: c.HasArg("outdated")}
+	id := c.Arg(0)
+	if id == "none" {
+		id = ""
+	}
+	s := Snapshot{HostID: id, Flows: make(map[packet.Key]uint32), Outdated: c.HasArg("outdated")}
 	for name := range c.Options {
 		if name == "start" {
 			s.StartTime = int64(c.Int(r.t, name))
--- a/internal/flowtable/snapshot.go
+++ b/internal/flowtable/snapshot.go
@@ -19,8 +19,7 @@
 )
 
 // Snapshot lists the open flows of one incarnation of a host. After a power loss of
-// agent and host, the next agent process uses it to reset those flows. It also tells
-// that process which host its predecessor has heard.
+// agent and host, the next agent process uses it to reset those flows.
 type Snapshot struct {
 	HostID    string
 	StartTime int64                 // as in Report
@@ -68,13 +67,6 @@
 	return age >= interval && share >= replaceShare || age >= interval/earlyIntervalDivisor && share >= earlyReplaceShare
 }
 
-// NamesNewHost reports whether s is of another incarnation of the host than old. Such a
-// snapshot is saved even without flows: it tells the agent's next process that this one
-// has forwarded packets to the incarnation.
-func (s Snapshot) NamesNewHost(old Snapshot) bool {
-	return s.HostID != "" && (s.HostID != old.HostID || s.StartTime != old.StartTime)
-}
-
 const flowLen = packet.KeyLen + 4 // bytes of an encoded flow
 
 // EncodeFlows returns the binary encoding of the flows.
@@ -104,26 +96,22 @@
 // would fail.
 func (t *Table) SetPreviousSnapshot(s Snapshot, out []Action) []Action {
 	t.previous = s
-	t.predecessor = predecessor{known: true, outdated: s.Outdated, host: incarnation{s.HostID, s.StartTime}}
-	if t.host.ID != "" && t.joinedRecent && t.unknownToPredecessor() {
-		t.complete = true
-	}
 	if t.previousHostEnded {
 		return t.resetPreviousFlows(HostEnded, out)
 	}
-	return t.resetPreviousIfReplaced(t.startedRecently(t.host), out)
+	return t.resetPreviousIfReplaced(out)
 }
 
-// resetPreviousIfReplaced resets the flows of the previous snapshot if the
-// registered host is a later incarnation than that of the snapshot. Start times
-// decide if both are known. Otherwise a single report may be a late one of a host
-// that ended before the snapshot; isNewer is true if the caller has ruled this
-// out.
-func (t *Table) resetPreviousIfReplaced(isNewer bool, out []Action) []Action {
+// resetPreviousIfReplaced resets the flows of the previous snapshot if the registered
+// host is a later incarnation than that of the snapshot. Start times decide if both are
+// known. Otherwise a single report may be a late one of a host that ended before the
+// snapshot; the next one rules that out.
+func (t *Table) resetPreviousIfReplaced(out []Action) []Action {
 	r, s := t.host, &t.previous
 	if r.ID == "" || s.HostID == "" || r.ID == s.HostID && r.StartTime == s.StartTime {
 		return out
 	}
+	isNewer := t.origin.confirmed || t.origin.young
 	if r.StartTime != 0 && s.StartTime != 0 {
 		isNewer = r.StartTime > s.StartTime
 	}
@@ -136,10 +124,12 @@
 // resetPreviousFlows resets the flows of the previous snapshot, except for those
 // that are in the table, and discards the snapshot. An outdated snapshot may be of a
 // host before the previous one, so that clients may have reused the addresses of its
-// flows; only a complete table tells.
+// flows; only a table that is complete once the host is known to run tells.
 func (t *Table) resetPreviousFlows(cause Cause, out []Action) []Action {
 	if t.previous.Outdated && !t.complete {
-		t.previous = Snapshot{}
+		if t.origin.confirmed {
+			t.previous = Snapshot{}
+		}
 		return out
 	}
 	for k, ack := range t.previous.Flows {
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -62,15 +62,15 @@
 	host              Report        // newest report; without an ID if none has been received
 	registered        bool          // a host is running, as far as the agent knows
 	departure         departure     // of the current incarnation
-	joinedRecent      bool          // the current incarnation had started recently when its first report was received
+	origin            origin        // of the current incarnation
+	onlyNewHosts      bool          // any other incarnation that runs has started after the agent
 	lastReport        time.Time     // when host was received
 	unanswered        unansweredPackets
 	flows             map[packet.Key]*flow
 	questions         map[packet.Key]pendingQuestion // by flow
 	endedIncarnations []incarnation                  // oldest first
 	previous          Snapshot                       // written by an earlier agent process
-	predecessor       predecessor
-	previousHostEnded bool // the host of the previous snapshot is known to have ended
+	previousHostEnded bool                           // the host of the previous snapshot is known to have ended
 	routes            map[packet.Endpoint]*routeState
 	admission         *admission.Queue // of the host
 	held              map[admission.Ticket]*heldRequest
@@ -90,6 +90,7 @@
 		startedAt:      now,
 		reportInterval: reportInterval,
 		complete:       firstStart,
+		onlyNewHosts:   firstStart,
 		flows:          make(map[packet.Key]*flow),
 		questions:      make(map[packet.Key]pendingQuestion),
 		routes:         make(map[packet.Endpoint]*routeState),
@@ -237,7 +238,7 @@
 		t.departure.resetFlowsAt = time.Time{}
 		out = t.endAllFlows(now, HostLeft, out)
 		out = t.resetPreviousFlows(HostLeft, out)
-		t.complete = true
+		t.recordVacant()
 	}
 	if !t.complete && now.Sub(t.startedAt) > completeAfter {
 		t.complete = true
--- a/internal/packetagent/agent.go
+++ b/internal/packetagent/agent.go
@@ -84,7 +84,6 @@
 	innerSocket    *inner.Socket
 	servers        ops.Servers
 	checkRequested chan struct{} // wakes checkHost
-	hostJoined     chan struct{} // wakes saveSnapshots
 	hostSeen       chan struct{} // closed when the first host has registered
 	hostSeenOnce   sync.Once
 	decisions      *trace.Ring // recent decisions, served at fleet.FlowsPath
@@ -116,7 +115,6 @@
 		log:            &log.Logger{Level: log.PanicLevel},
 		metrics:        metrics.NewSet(),
 		checkRequested: make(chan struct{}, 1),
-		hostJoined:     make(chan struct{}, 1),
 		hostSeen:       make(chan struct{}),
 		decisions:      trace.NewRing(maxDecisions),
 		flowLogLimit:   trace.NewRateLimiter(flowLogsPerSecond),
--- a/internal/packetagent/forward.go
+++ b/internal/packetagent/forward.go
@@ -187,9 +187,6 @@
 	a.execute(out)
 	a.sendMessages(messages)
 	a.counters.heartbeats[verdict].Inc()
-	if verdict == flowtable.Joined {
-		wake(a.hostJoined)
-	}
 	if verdict != flowtable.Unchanged && (verdict.Acknowledged() || a.flowLogLimit.Allow(now)) {
 		a.log.Info().Str("event", "host").Str("host", r.ID).Stringer("verdict", verdict).Int64("born", r.StartTime).
 			Uint64("seq", r.Seq).Str("service", r.Service).Str("zone", r.Zone).Stringer("addr", r.Addr).
--- a/internal/packetagent/snapshot.go
+++ b/internal/packetagent/snapshot.go
@@ -7,7 +7,6 @@
 
 	"skylarkturn/internal/backoff"
 	"skylarkturn/internal/flowtable"
-	"skylarkturn/internal/packet"
 	"skylarkturn/internal/platform"
 )
 
@@ -34,7 +33,7 @@
 )
 
 // saveSnapshots restores the snapshot of an earlier agent process, then saves the
-// open flows to the store as they change, and whenever a host has joined.
+// open flows to the store as they change.
 func (a *Agent) saveSnapshots(ctx context.Context) error {
 	if !a.settings.FirstStart {
 		a.loadSnapshot(ctx)
@@ -51,8 +50,6 @@
 			backoff.Sleep(ctx, a.rewriteDelay())
 			saved, savedAt = flowtable.Snapshot{}, time.Time{}
 			_, advanced = a.platform.Epochs.Newest()
-		case <-a.hostJoined:
-			backoff.Sleep(ctx, a.joinDelay())
 		case <-ctx.Done():
 		case <-time.After(interval / checksPerSnapshotInterval):
 		}
@@ -60,7 +57,7 @@
 		a.mu.Lock()
 		s := a.flows.Snapshot(now)
 		a.mu.Unlock()
-		if ctx.Err() != nil || !s.NamesNewHost(saved) && !s.ShouldReplace(saved, now.Sub(savedAt), interval) {
+		if ctx.Err() != nil || !s.ShouldReplace(saved, now.Sub(savedAt), interval) {
 			continue
 		}
 		savedAt = now // set before the call, so that a failed save is retried after the interval, too
@@ -73,15 +70,6 @@
 	return nil
 }
 
-// joinDelay returns the time after which the snapshot of a host that has joined is saved.
-// It spreads the writes of a fleet whose hosts start together.
-func (a *Agent) joinDelay() time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	spread := time.Duration(a.members.FleetSize()) * time.Second / maxFleetSnapshotsPerSecond
-	return time.Duration(packet.EndpointOf(a.innerSocket.Addr()).Place() * float64(spread))
-}
-
 // snapshotInterval returns the interval of snapshots, which grows with the fleet
 // to keep the store's load below maxFleetSnapshotsPerSecond.
 func (a *Agent) snapshotInterval() time.Duration {
