flowtable: a report with a start time replaces one without

Cause: the first heartbeat that the new process heard was another writer's, without `born`, every 0.3 s; the host's own was kept waiting for its silence.

--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -126,12 +126,15 @@
 	switch {
 	case !t.vm.matches(&r) && !(same && old.Service == r.Service): // the settings may change before the host does
 		return Foreign, out
+	case t.hasStartTimes && r.StartTime == 0:
+		return Foreign, out
 	case same && t.isLate(now, &r):
 		return Stale, out
 	case known && !same && now.Sub(t.lastReport) < t.replacementDelay(&r):
 		return Unconfirmed, out
 	}
 	t.host, t.registered, t.lastReport = r, true, now
+	t.hasStartTimes = r.StartTime != 0
 	t.admission.SetSlots(maxInProgress(t.slots()))
 	t.unanswered = unansweredPackets{}
 	t.departure = departure{drainAnnounced: r.State == HostDraining || same && t.departure.drainAnnounced}
@@ -206,6 +209,8 @@
 func (t *Table) replacementDelay(r *Report) time.Duration {
 	old := &t.host
 	switch {
+	case old.StartTime == 0 && r.StartTime != 0:
+		return 0 // hosts report start times, so that the known one is of another writer
 	case r.StartTime < old.StartTime || slices.Contains(t.endedIncarnations, incarnation{r.ID, r.StartTime}):
 		return reinstateTimeout
 	case !t.registered || old.StartTime != 0 && r.StartTime > old.StartTime:
--- a/internal/flowtable/snapshot.go
+++ b/internal/flowtable/snapshot.go
@@ -96,6 +96,7 @@
 // would fail.
 func (t *Table) SetPreviousSnapshot(s Snapshot, out []Action) []Action {
 	t.previous = s
+	t.hasStartTimes = t.hasStartTimes || s.StartTime != 0
 	if t.previousHostEnded {
 		return t.resetPreviousFlows(HostEnded, out)
 	}
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -60,6 +60,7 @@
 	reportInterval    time.Duration // interval of the host's heartbeats
 	complete          bool          // every flow that the host holds is in flows
 	host              Report        // newest report; without an ID if none has been received
+	hasStartTimes     bool          // hosts report their start time: a report without one is of another writer
 	registered        bool          // a host is running, as far as the agent knows
 	departure         departure     // of the current incarnation
 	origin            origin        // of the current incarnation
