steering: queries have the acknowledgement of a returned packet

A restarted balancer reset a flow that its host had just accepted.

Cause: a lookup that began with a packet which an agent had returned asked with acknowledgement number 0, since this process had not seen a packet of the client. Agents with a half-open flow refuse that number. Change: the returned packet's number is recorded.

Test: script query_after_a_refusal_has_the_clients_ack (reset with ack=0 before).

--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -303,6 +303,7 @@
 	if f.owner != from || p == nil {
 		return out
 	}
+	f.recordAck(p) // queries need it, and the packet may have been sent by an earlier process
 	f.clearOwner()
 	return t.startLookup(now, h.Flow, f, raw, out, from)
 }
