flowtable: the age by reports allows for slow ones

A restarted agent took its table for complete beside a host that was older than itself and denied the host's flows.

Cause: number times interval is no upper bound, as hosts report about once an interval; applied it to each report, so that the error grew; before, it was applied to the first one. Change: a quarter of an interval is allowed for each report after the first, and only the first one that is heard counts.

--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -74,7 +74,7 @@
 
 // maxRecentAge is the age up to which a host without a start time that is new to the agent
 // is assumed to have started after the host of the previous snapshot.
-const maxRecentAge = 4500 * time.Millisecond
+const maxRecentAge = 5 * time.Second
 
 // maxReportDelay is the maximum network delay of a report.
 const maxReportDelay = 500 * time.Millisecond
@@ -87,9 +87,15 @@
 // flow is younger than a host with more of them.
 const maxCountedReports = 1 << 20
 
+// reportsPerLateInterval bounds how slowly a host reports: in this many reports it loses one
+// interval at most.
+const reportsPerLateInterval = 4
+
 // maxAge returns an upper bound of the host's age, from the number of its reports.
 func (t *Table) maxAge(r Report) time.Duration {
-	return time.Duration(min(r.Seq, maxCountedReports))*t.reportInterval + maxReportDelay
+	n := time.Duration(min(r.Seq, maxCountedReports))
+	late := max(n-1, 0) * t.reportInterval / reportsPerLateInterval
+	return n*t.reportInterval + late + maxReportDelay
 }
 
 // shutdownGrace is the time between a host's shutdown notice and its exit. Its
@@ -169,7 +175,12 @@
 // recordJoined handles the first report of an incarnation. One that has replaced another may
 // be older than the agent if the report of that was a late one.
 func (t *Table) recordJoined(now time.Time, replaced bool) {
-	t.origin = origin{young: t.maxAge(t.host) <= maxRecentAge, heardFirst: t.host.Seq == firstSeq, afterAnother: t.onlyNewHosts}
+	age := t.maxAge(t.host)
+	t.origin = origin{
+		afterAgent: now.Sub(t.startedAt) > age, young: age <= maxRecentAge,
+		heardFirst: t.host.Seq == firstSeq, afterAnother: t.onlyNewHosts,
+	}
+	afterAgent   bool // by the number of its first report it has started after the agent
 	if replaced && !t.onlyNewHosts && now.Sub(t.startedAt) <= completeAfter {
 		t.complete = false
 	}
@@ -188,7 +199,7 @@
 		return
 	}
 	o.confirmed = true
-	if o.heardFirst || o.afterAnother || now.Sub(t.startedAt) > t.maxAge(t.host) {
+	if o.heardFirst || o.afterAgent || o.afterAnother {
 		t.complete = true
 	}
 	t.onlyNewHosts = true // another one can run only after this one has ended
