--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -160,6 +160,15 @@
 	return Joined, t.forwardStarted(now, t.resetPreviousIfReplaced(out))
 }
 
+// requireStartTimes records that hosts report their start time. A known host without one is
+// then of another writer.
+func (t *Table) requireStartTimes() {
+	t.hasStartTimes = true
+	if t.host.ID != "" && t.host.StartTime == 0 {
+		t.host, t.registered, t.origin = Report{}, false, origin{}
+	}
+}
+
 // firstSeq is the number of the first report of an incarnation.
 const firstSeq = 1
 
@@ -167,6 +176,7 @@
 // its own.
 type origin struct {
 	confirmed    bool // two reports in a row have come: the incarnation runs
+	afterAgent   bool // by the number of its first report it has started after the agent
 	young        bool // it had started at most maxRecentAge before its first report came
 	heardFirst   bool // its first report has come to this agent process, and all since
 	afterAnother bool // it was preceded by an incarnation that ended after the agent had started
@@ -180,7 +190,6 @@
 		afterAgent: now.Sub(t.startedAt) > age, young: age <= maxRecentAge,
 		heardFirst: t.host.Seq == firstSeq, afterAnother: t.onlyNewHosts,
 	}
-	afterAgent   bool // by the number of its first report it has started after the agent
 	if replaced && !t.onlyNewHosts && now.Sub(t.startedAt) <= completeAfter {
 		t.complete = false
 	}
--- a/internal/flowtable/snapshot.go
+++ b/internal/flowtable/snapshot.go
@@ -96,7 +96,9 @@
 // would fail.
 func (t *Table) SetPreviousSnapshot(s Snapshot, out []Action) []Action {
 	t.previous = s
-	t.hasStartTimes = t.hasStartTimes || s.StartTime != 0
+	if s.StartTime != 0 {
+		t.requireStartTimes()
+	}
 	if t.previousHostEnded {
 		return t.resetPreviousFlows(HostEnded, out)
 	}
@@ -113,10 +115,13 @@
 		return out
 	}
 	isNewer := t.origin.confirmed || t.origin.young
-	if r.StartTime != 0 && s.StartTime != 0 {
+	switch {
+	case r.StartTime != 0 && s.StartTime != 0:
 		isNewer = r.StartTime > s.StartTime
 	}
 	if !isNewer {
+	case r.StartTime != 0:
+		isNewer = t.origin.confirmed
 		return out
 	}
 	return t.resetPreviousFlows(HostRestarted, out)
