--- a/internal/flowtable/snapshot.go
+++ b/internal/flowtable/snapshot.go
@@ -27,12 +27,14 @@
 	Outdated  bool                  // read from a store that has since been restored from a copy, so that a later snapshot may be lost
 }
 
-// Snapshot returns the open flows that are at least minSnapshotAge old, at most
-// maxSnapshotFlows of them.
+// Snapshot returns the open flows that are at least minSnapshotAge old and older than the
+// host's newest report, at most maxSnapshotFlows of them. A younger one may be of another
+// incarnation that has not reported yet.
 func (t *Table) Snapshot(now time.Time) Snapshot {
 	s := Snapshot{HostID: t.host.ID, StartTime: t.host.StartTime, Flows: make(map[packet.Key]uint32)}
 	for k, f := range t.flows {
-		if f.state == open && now.Sub(f.createdAt) >= minSnapshotAge && len(s.Flows) < maxSnapshotFlows {
+		lasting := now.Sub(f.createdAt) >= minSnapshotAge && f.createdAt.Before(t.lastReport)
+		if f.state == open && lasting && len(s.Flows) < maxSnapshotFlows {
 			s.Flows[k] = f.clientAck
 		}
 	}
@@ -118,10 +120,10 @@
 	switch {
 	case r.StartTime != 0 && s.StartTime != 0:
 		isNewer = r.StartTime > s.StartTime
-	}
-	if !isNewer {
 	case r.StartTime != 0:
 		isNewer = t.origin.confirmed
+	}
+	if !isNewer {
 		return out
 	}
 	return t.resetPreviousFlows(HostRestarted, out)
