flowtable: what another writer's heartbeats told is taken back

A restarted agent denied the flows of the host that runs after two heartbeats of another writer, without start time, had come in a row.

Cause: the conclusion of from two reports in a row stayed when the host's own report, with a start time, showed that they were of another writer; and it could be drawn before that came.

Change: the first start time takes it back.

--- a/internal/flowtable/host.go
+++ b/internal/flowtable/host.go
@@ -141,7 +141,9 @@
 		return Unconfirmed, out
 	}
 	t.host, t.registered, t.lastReport = r, true, now
-	t.hasStartTimes = r.StartTime != 0
+	if r.StartTime != 0 {
+		t.requireStartTimes(now)
+	}
 	t.admission.SetSlots(maxInProgress(t.slots()))
 	t.unanswered = unansweredPackets{}
 	t.departure = departure{drainAnnounced: r.State == HostDraining || same && t.departure.drainAnnounced}
--- a/internal/flowtable/knownfault_test.go
+++ b/internal/flowtable/knownfault_test.go
@@ -16,7 +16,7 @@
 	now := time.Unix(1_800_000_000, 0)
 	table := New(now, scriptVM, reportInterval, false)
 	k := packet.Key{Client: clientEndpoint(t, "c1"), Route: listen}
-	out := table.SetPreviousSnapshot(Snapshot{HostID: "h5", Flows: map[packet.Key]uint32{k: 500}}, nil)
+	out := table.SetPreviousSnapshot(now, Snapshot{HostID: "h5", Flows: map[packet.Key]uint32{k: 500}}, nil)
 	qt.Check(t, qt.HasLen(out, 0))
 	late := Report{ID: "h1", Seq: 2, Service: "bookdesk", Zone: scriptVM.Zone, Addr: scriptVM.Addr, State: HostReady, Slots: 4}
 	_, out = table.HandleReport(now, late, nil)
--- a/internal/flowtable/model_test.go
+++ b/internal/flowtable/model_test.go
@@ -66,6 +66,7 @@
 	inbox     []func()  // messages that wait while it is paused
 	saved     []flowtable.Snapshot
 	late      []flowtable.Report // of hosts that have crashed
+	strays    uint64             // heartbeats of another writer since the agent started
 }
 
 type modelHost struct {
--- a/internal/flowtable/order_test.go
+++ b/internal/flowtable/order_test.go
@@ -129,10 +129,12 @@
 			a.host.undelivered = append(a.host.undelivered, m.nextReport(a))
 		}
 	case 9:
-		if m.startTimes { // a heartbeat of another writer
-			m.toAgent(a, func() {
-				m.handleReport(a, flowtable.Report{ID: "x", Seq: 1, Service: "s", State: flowtable.HostReady, Slots: 4})
-			})
+		if m.startTimes {
+			m.sendStray(a)
+			if m.rand.IntN(3) == 0 { // and its next one
+				m.pass(modelReportInterval / 2)
+				m.sendStray(a)
+			}
 		}
 	case 10:
 		m.checkOrDrain(a)
@@ -153,6 +155,13 @@
 	})
 }
 
+// sendStray sends an agent the next heartbeat of another writer, which has no start time.
+func (m *model) sendStray(a *modelAgent) {
+	a.strays++
+	r := flowtable.Report{ID: "x", Seq: a.strays, Service: "s", State: flowtable.HostReady, Slots: 4}
+	m.toAgent(a, func() { m.handleReport(a, r) })
+}
+
 func (m *model) sendLateReport(a *modelAgent) {
 	if len(a.late) == 0 {
 		return
@@ -194,7 +203,7 @@
 		a.disturbed = m.now.Add(modelStableWindow)
 	}
 	a.table = flowtable.New(m.now, flowtable.VM{}, modelReportInterval, false)
-	a.paused, a.changedAt, a.inbox = false, m.now, nil
+	a.paused, a.changedAt, a.inbox, a.strays = false, m.now, nil, 0
 	var previous flowtable.Snapshot
 	outcome := m.rand.IntN(4)
 	if n := len(a.saved); n > 0 && outcome < 2 {
@@ -209,10 +218,9 @@
 		m.enqueue(func() {
 			m.toAgent(a, func() {
 				if a.table == table {
-					m.runAgentActions(a, a.table.SetPreviousSnapshot(previous, nil))
+					m.runAgentActions(a, a.table.SetPreviousSnapshot(m.now, previous, nil))
 				}
 			})
 		})
 	}
 }
-
--- a/internal/flowtable/origin.go
+++ b/internal/flowtable/origin.go
@@ -8,7 +8,7 @@
 // origin is what the agent knows of the start of the current incarnation, compared with
 // its own.
 type origin struct {
-	confirmed    bool // two reports in a row have come: the incarnation runs
+	confirmed    bool // two reports in a row have come, and none of another: the incarnation runs
 	afterAgent   bool // by the number of its first report it has started after the agent
 	young        bool // it had started at most maxRecentAge before its first report came
 	heardFirst   bool // its first report has come to this agent process, and all since
@@ -30,17 +30,19 @@
 }
 
 // recordNextReport handles a report of the current incarnation after that with the number
-// before, received at lastAt. Once two have come in a row, an incarnation that started after
-// the agent has all its flows in the table. Nothing but its own reports shows this: the
-// absence of a record of an earlier agent process does not show that there was none.
+// before, received at lastAt. Once two have come in a row, and none of another incarnation,
+// one that started after the agent has all its flows in the table. Nothing but its own
+// reports shows this: the absence of a record of an earlier agent process does not show
+// that there was none.
 func (t *Table) recordNextReport(now time.Time, before uint64, lastAt time.Time) {
 	o := &t.origin
 	if t.host.Seq > before+1 {
 		o.heardFirst = false
 	}
-	inRow := t.host.Seq == before+1 && !o.contested && now.Sub(lastAt) >= t.reportInterval/2 // late ones arrive together
+	inRow := t.host.Seq == before+1 && now.Sub(lastAt) >= t.reportInterval/2 // late ones arrive together
+	alone := !o.contested && now.Sub(t.startedAt) >= t.missedReportTimeout() // any other host would have reported
 	o.contested = false
-	if !inRow {
+	if !inRow || !alone {
 		return
 	}
 	o.confirmed = true
@@ -51,13 +53,14 @@
 }
 
 // recordVacant records that no host runs: the table has all flows of any later host.
-func (t *Table) recordVacant() { t.complete, t.onlyNewHosts = true, true }
+func (t *Table) recordVacant() { t.vacant, t.complete, t.onlyNewHosts = true, true, true }
 
-// requireStartTimes records that hosts report their start time. A known host without one is
-// then of another writer.
-func (t *Table) requireStartTimes() {
-	t.hasStartTimes = true
-	if t.host.ID != "" && t.host.StartTime == 0 {
-		t.host, t.registered, t.origin = Report{}, false, origin{}
+// requireStartTimes records that hosts report their start time. What has been concluded from
+// a known host without one is then of another writer.
+func (t *Table) requireStartTimes(now time.Time) {
+	if !t.hasStartTimes && !t.vacant {
+		t.onlyNewHosts = false
+		t.complete = t.complete && now.Sub(t.startedAt) > completeAfter
 	}
+	t.hasStartTimes = true
 }
--- a/internal/flowtable/script_test.go
+++ b/internal/flowtable/script_test.go
@@ -135,7 +135,7 @@
 		}
 		s.Flows[packet.Key{Client: clientEndpoint(r.t, name), Route: listen}] = uint32(c.Int(r.t, name))
 	}
-	return r.formatActions(r.table.SetPreviousSnapshot(s, nil))
+	return r.formatActions(r.table.SetPreviousSnapshot(r.now, s, nil))
 }
 
 func (r *runner) snapshot() []string {
--- a/internal/flowtable/snapshot.go
+++ b/internal/flowtable/snapshot.go
@@ -96,10 +96,13 @@
 // or an earlier host. Its flows are reset as soon as the host of the snapshot is
 // known to have ended, so that clients reconnect before they send a request that
 // would fail.
-func (t *Table) SetPreviousSnapshot(s Snapshot, out []Action) []Action {
+func (t *Table) SetPreviousSnapshot(now time.Time, s Snapshot, out []Action) []Action {
 	t.previous = s
 	if s.StartTime != 0 {
-		t.requireStartTimes()
+		t.requireStartTimes(now)
+		if t.host.ID != "" && t.host.StartTime == 0 {
+			t.host, t.registered, t.origin = Report{}, false, origin{} // of another writer
+		}
 	}
 	if t.previousHostEnded {
 		return t.resetPreviousFlows(HostEnded, out)
--- a/internal/flowtable/table.go
+++ b/internal/flowtable/table.go
@@ -64,6 +64,7 @@
 	registered        bool          // a host is running, as far as the agent knows
 	departure         departure     // of the current incarnation
 	origin            origin        // of the current incarnation
+	vacant            bool          // since the agent's start there has been a time without a host
 	onlyNewHosts      bool          // any other incarnation that runs has started after the agent
 	lastReport        time.Time     // when host was received
 	unanswered        unansweredPackets
@@ -91,6 +92,7 @@
 		startedAt:      now,
 		reportInterval: reportInterval,
 		complete:       firstStart,
+		vacant:         firstStart,
 		onlyNewHosts:   firstStart,
 		flows:          make(map[packet.Key]*flow),
 		questions:      make(map[packet.Key]pendingQuestion),
--- a/internal/packetagent/snapshot.go
+++ b/internal/packetagent/snapshot.go
@@ -103,7 +103,7 @@
 // them when their host has ended.
 func (a *Agent) restoreFlows(s flowtable.Snapshot) {
 	a.mu.Lock()
-	out := a.flows.SetPreviousSnapshot(s, nil)
+	out := a.flows.SetPreviousSnapshot(time.Now(), s, nil)
 	a.mu.Unlock()
 	a.execute(out)
 	a.log.Info().Str("event", "snapshot").Str("host", s.HostID).Int64("born", s.StartTime).
