soak: idle flows and odd entries of another writer

One pause in fifty now takes up to 8 s with the flow open, and a reset meanwhile is checked when it comes. A new fault leaves an entry in the store that can't be decoded.

--- a/internal/platformstand/client.go
+++ b/internal/platformstand/client.go
@@ -19,6 +19,8 @@
 	maxRetries           = 2                      // per request
 	maxThinkTime         = 150 * time.Millisecond // between the end of a request and the next one
 	maxRequestsPerFlow   = 40                     // the client then opens a new flow
+	maxIdleTime          = 8 * time.Second        // of an open flow, in a long pause; shorter than the limit of the configuration
+	idlePollInterval     = 100 * time.Millisecond // at which a pausing client looks whether it is to end
 )
 
 // client simulates one user: it sends one request at a time and reuses its flow
@@ -31,6 +33,8 @@
 	rand    *rand.Rand
 	routes  func() []packet.Endpoint
 
+	longPauses float64 // share of the pauses that take up to maxIdleTime
+
 	flow *clientFlow // nil when no flow is open
 	port uint16      // source port of the last flow, minus 1024
 }
@@ -76,6 +80,9 @@
 			return
 		}
 		c.checker.requestEnded(id, ok, reason)
+		if c.rand.Float64() < c.longPauses {
+			c.idle(ctx, time.Duration(c.rand.Int64N(int64(maxIdleTime))))
+		}
 		thinkTime := time.Duration(c.rand.Int64N(int64(maxThinkTime)))
 		select {
 		case <-ctx.Done():
@@ -84,6 +91,19 @@
 	}
 }
 
+// idle keeps the open flow without sending on it, until a reset arrives or the time is over.
+func (c *client) idle(ctx context.Context, d time.Duration) {
+	end := time.Now().Add(d)
+	for f := c.flow; f != nil && ctx.Err() == nil && time.Now().Before(end); {
+		h, _, from, ok := c.receive(f, earlier(end, time.Now().Add(idlePollInterval)))
+		if ok && h.Flags.Has(packet.RST) {
+			c.checker.flowReset(f.key, from, f.balancer)
+			c.flow = nil
+			return
+		}
+	}
+}
+
 // request sends a request until it is answered, requestTimeout has passed or
 // maxRetries are used up. It retries after a failure to open a flow, and after
 // other failures only if the request is idempotent.
--- a/internal/platformstand/oddentry_test.go
+++ b/internal/platformstand/oddentry_test.go
@@ -12,18 +12,6 @@
 	"github.com/go-quicktest/qt"
 )
 
-// oddSpecs are contents that another writer may leave in the store.
-var oddSpecs = []string{
-	strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000),
-	`{"inner":` + strings.Repeat(`{"a":`, 20_000) + "1" + strings.Repeat("}", 20_000) + "}",
-	`{"inner":"127.0.0.1:99999","epoch":1}`,
-	`{"inner":"127.0.0.1:7400","epoch":1e400}`,
-	`{"inner":"127.0.0.1:7400","epoch":` + strings.Repeat("9", 400) + "}",
-	`{"inner":Infinity}`,
-	"\"\xff\xfe\x01\"",
-	`[null,7,"]"]`,
-}
-
 // putOddEntries leaves each of oddSpecs beside the entries of a kind, before and after
 // them by name.
 func putOddEntries(s *Store, kind string) {
--- a/internal/platformstand/site.go
+++ b/internal/platformstand/site.go
@@ -50,6 +50,8 @@
 	allow         map[packet.Endpoint][]string
 	bootstrap     bool // daemons start as those of a new deployment
 	withoutSeeds  bool // daemons find each other only in the store
+
+	longPauses float64 // as in client
 }
 
 // ports are the ports of daemons and hosts, the same on every VM.
@@ -285,7 +287,7 @@
 		}
 		c := &client{
 			name: fmt.Sprint("user-", i), conn: conn, fabric: s.fabric, checker: s.Checker, routes: s.routes,
-			rand: rand.New(rand.NewPCG(s.rand.Uint64(), uint64(i))),
+			rand: rand.New(rand.NewPCG(s.rand.Uint64(), uint64(i))), longPauses: s.longPauses,
 		}
 		s.wg.Go(func() {
 			c.run(s.ctx)
--- a/internal/platformstand/soak.go
+++ b/internal/platformstand/soak.go
@@ -42,6 +42,7 @@
 	recoveryWindow    = 3 * time.Second // end of the recovery period, measured for Result.RecoveredShare
 	minRecoveredShare = 0.95            // share of requests that must be served in recoveryWindow
 	drainDuration     = 4 * time.Second
+	soakLongPauses    = 0.02 // share of the users' pauses in which their flows are idle for seconds
 )
 
 // soakRun is the state of a running soak.
@@ -65,6 +66,7 @@
 		return Result{}, err
 	}
 	defer site.Close()
+	site.longPauses = soakLongPauses
 	k := &soakRun{
 		Soak: s, site: site, rand: rand.New(rand.NewPCG(s.Seed, 1)), faulted: make(map[string]bool),
 		routes: map[string]string{"r0": "bookdesk", "r1": "kitdocs"},
@@ -163,7 +165,7 @@
 func (k *soakRun) injectFaults(ctx context.Context, end time.Time) {
 	faults := []func(){
 		k.killDaemons, k.killDaemons, k.killAll, k.freeze, k.rollBalancers, k.reloadAll, k.crashHost, k.replaceHost, k.replaceHost,
-		k.failStore, k.failStore, k.faultStoreConns, k.faultStoreConns, k.compact, k.restoreStore, k.restoreStore, k.configure, k.configure, k.configure, k.loseClientPackets, k.addBalancer, k.sendStrays,
+		k.failStore, k.failStore, k.faultStoreConns, k.faultStoreConns, k.compact, k.restoreStore, k.restoreStore, k.configure, k.configure, k.configure, k.loseClientPackets, k.addBalancer, k.sendStrays, k.leaveOddEntry,
 	}
 	for ctx.Err() == nil && time.Now().Before(end) {
 		faults[k.rand.IntN(len(faults))]()
@@ -286,6 +288,14 @@
 	}
 }
 
+// leaveOddEntry writes an entry that no daemon can use beside those of the daemons.
+func (k *soakRun) leaveOddEntry() {
+	kind := []string{"config", "skylark-balancers", "skylark-agents"}[k.rand.IntN(3)]
+	n := k.rand.IntN(len(oddSpecs))
+	k.logf("another writer leaves an entry of kind %s: %.40q", kind, oddSpecs[n])
+	k.site.Store.PutOdd(kind, fmt.Sprint("odd-", n), oddSpecs[n])
+}
+
 // replaceHost replaces a host as a release does: the new one starts first, then the
 // old one drains and stops.
 func (k *soakRun) replaceHost() {
--- a/internal/platformstand/store.go
+++ b/internal/platformstand/store.go
@@ -114,6 +114,18 @@
 	s.put(kind, name, json.RawMessage(spec), false)
 }
 
+// oddSpecs are contents that another writer may leave in the store.
+var oddSpecs = []string{
+	strings.Repeat("[", 200_000) + strings.Repeat("]", 200_000),
+	`{"inner":` + strings.Repeat(`{"a":`, 20_000) + "1" + strings.Repeat("}", 20_000) + "}",
+	`{"inner":"127.0.0.1:99999","epoch":1}`,
+	`{"inner":"127.0.0.1:7400","epoch":1e400}`,
+	`{"inner":"127.0.0.1:7400","epoch":` + strings.Repeat("9", 400) + "}",
+	`{"inner":Infinity}`,
+	"\"\xff\xfe\x01\"",
+	`[null,7,"]"]`,
+}
+
 // Restore replaces the content by a copy of the given age. Revisions go on from that of
 // the copy, the epoch rises by one, and what the operator has written since is written
 // again.
