steering: a lookup goes on when a queued opening packet is placed

Packets of a flow were dropped as "waiting" for as long as its client sent any.

Cause: a flow whose owner was being looked up, and a late copy of whose opening packet waited for a target, left the list of pending flows with the placement; its lookup neither went on nor ended. Change: it leaves the list when it waits for neither. A found owner ends the wait for a target.

Test: script lookup_beside_a_queued_opening_packet ("drop waiting" after 5 s before).

--- a/internal/steering/lookup.go
+++ b/internal/steering/lookup.go
@@ -119,7 +119,7 @@
 	l.outstanding = slices.DeleteFunc(l.outstanding, func(a netip.AddrPort) bool { return t.targets[a] == nil })
 	if now.Sub(l.started) >= lookupTimeout {
 		f.lookup = nil
-		delete(t.pending, k)
+		t.updatePending(k, f)
 		return out
 	}
 	if t.queryBudget <= 0 {
@@ -148,7 +148,7 @@
 		return out
 	}
 	f.lookup = nil
-	delete(t.pending, k)
+	t.updatePending(k, f)
 	f.lostAt = now
 	return append(out, Action{Op: Reset, Cause: Lost, Flow: k, ClientAck: f.clientAck})
 }
--- a/internal/steering/place.go
+++ b/internal/steering/place.go
@@ -157,7 +157,7 @@
 func (t *Table) retryPlacement(now time.Time, k packet.Key, f *flow, out []Action) []Action {
 	raw := f.queuedOpen
 	f.queuedOpen = nil
-	delete(t.pending, k)
+	t.updatePending(k, f)
 	if now.Sub(f.firstSeen) >= openTimeout {
 		return out
 	}
--- a/internal/steering/table.go
+++ b/internal/steering/table.go
@@ -359,8 +359,8 @@
 	if l == nil {
 		return out
 	}
-	f.lookup = nil
-	delete(t.pending, k)
+	f.lookup, f.queuedOpen = nil, nil
+	t.updatePending(k, f)
 	for _, raw := range l.buffered {
 		out = append(out, Action{Op: Send, Cause: Found, Flow: k, Agent: from, Kind: tunnel.Deliver, Class: t.targets[from].classOf(f), Packet: raw, Waited: now.Sub(l.started)})
 	}
@@ -412,6 +412,13 @@
 	return f
 }
 
+// updatePending removes a flow from pending if it waits for neither a lookup nor a target.
+func (t *Table) updatePending(k packet.Key, f *flow) {
+	if f.lookup == nil && f.queuedOpen == nil {
+		delete(t.pending, k)
+	}
+}
+
 func (t *Table) removeFlow(k packet.Key) {
 	delete(t.flows, k)
 	delete(t.pending, k)
