flowtable: the number of a report no longer shows that a host is younger than its agent

A restarted agent that had been paused took its table for complete beside an older host and denied the host's flows.

Cause: the age by the number of a report is an upper bound only when the report comes at once; one that waited at the paused agent is older by the pause. A first report that has come to this process, a host before it, or a vacant address remain.

--- a/internal/flowtable/origin.go
+++ b/internal/flowtable/origin.go
@@ -9,7 +9,6 @@
 // its own.
 type origin struct {
 	confirmed    bool // two reports in a row have come, and none of another: the incarnation runs
-	afterAgent   bool // by the number of its first report it has started after the agent
 	young        bool // it had started at most maxRecentAge before its first report came
 	heardFirst   bool // its first report has come to this agent process, and all since
 	afterAnother bool // it was preceded by an incarnation that ended after the agent had started
@@ -19,11 +18,7 @@
 // recordJoined handles the first report of an incarnation. One that has replaced another may
 // be older than the agent if the report of that was a late one.
 func (t *Table) recordJoined(now time.Time, replaced bool) {
-	age := t.maxAge(t.host)
-	t.origin = origin{
-		afterAgent: now.Sub(t.startedAt) > age, young: age <= maxRecentAge,
-		heardFirst: t.host.Seq == firstSeq, afterAnother: t.onlyNewHosts,
-	}
+	t.origin = origin{young: t.maxAge(t.host) <= maxRecentAge, heardFirst: t.host.Seq == firstSeq, afterAnother: t.onlyNewHosts}
 	if replaced && !t.onlyNewHosts && now.Sub(t.startedAt) <= completeAfter {
 		t.complete = false
 	}
@@ -46,7 +41,7 @@
 		return
 	}
 	o.confirmed = true
-	if o.heardFirst || o.afterAgent || o.afterAnother {
+	if o.heardFirst || o.afterAnother {
 		t.complete = true
 	}
 	t.onlyNewHosts = true // another one can run only after this one has ended
