Comments after a newcomer's reading of the diff

resetPreviousIfReplaced did not say that a report of a young host without a start time counts at once, nor why; two comments on decodeObject were hard to follow.

--- a/internal/flowtable/snapshot.go
+++ b/internal/flowtable/snapshot.go
@@ -113,7 +113,9 @@
 // resetPreviousIfReplaced resets the flows of the previous snapshot if the registered
 // host is a later incarnation than that of the snapshot. Start times decide if both are
 // known. Otherwise a single report may be a late one of a host that ended before the
-// snapshot; the next one rules that out.
+// snapshot; the next one rules that out. One of a young host without a start time counts at
+// once: after a power loss hosts are often back before their agents, and clients need the
+// resets before they send.
 func (t *Table) resetPreviousIfReplaced(out []Action) []Action {
 	r, s := t.host, &t.previous
 	if r.ID == "" || s.HostID == "" || r.ID == s.HostID && r.StartTime == s.StartTime {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -185,7 +185,7 @@
 	return l, err
 }
 
-// decodeObject decodes an object of a list but its value.
+// decodeObject decodes the name and version of an object and leaves its value undecoded.
 func decodeObject(raw []byte) (o Object, err error) {
 	fields, err := SplitObject(raw)
 	if err == nil {
