--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -132,7 +132,6 @@
 // empty string and the reason.
 func (f *clientFlow) request(ctx context.Context, id string) (body, reason string) {
 	text := fmt.Appendf(nil, "GET /feed HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n\r\n", id)
-	f.c.site.requestSent(id)
 	end, wait := time.After(requestTimeout), firstRetry
 	f.send(packet.ACK, f.seq, f.ack, text)
 	retry := time.After(wait)
@@ -163,6 +162,7 @@
 			if got := requestID(r.data); got != id {
 				f.c.site.fail("MIXED", "request %s was answered with that of %s", id, got)
 			}
+			f.c.site.requestAnswered(id)
 			return bodyOf(r.data), ""
 		}
 	}
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -19,7 +19,8 @@
 	rule string
 	play func(s *site, trouble bool) error
 }{
-	"reuse": {"ROUTE", playReuse},
+	"reuse":   {"ROUTE", playReuse},
+	"recover": {"RECOVER", playRecover},
 }
 
 func main() {
--- a/review/stand3/reuse.go
+++ b/review/stand3/reuse.go
@@ -24,6 +24,7 @@
 	for n := 0; s.ctx.Err() == nil; n++ {
 		s.pause(minPause + time.Duration(rand.Int64N(int64(maxPause-minPause))))
 		id := fmt.Sprintf("%s-%d", user, n)
+		s.requestMade(id)
 		if f != nil && onFlow >= limit {
 			f.close()
 			f = nil
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -46,7 +46,8 @@
 	version   int
 	allowed   map[packet.Endpoint][]string  // services that a route may lead to
 	opened    map[packet.Key]*host          // hosts of open flows
-	sent      map[string]bool               // ids of requests
+	sent      map[string]time.Time          // when requests were made, by id
+	answered  map[string]bool               // ids of requests with an answer
 	run       map[string]int                // runs by request
 	broken    map[string]int                // by rule
 	watch     func(packet.Key, *host, bool) // called for a reset of an open flow
@@ -82,10 +83,10 @@
 		rec: rec, store: platformstand.NewStore(), dir: dir, log: log, ctx: ctx, cancel: cancel, bootstrap: true,
 		http:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		prefix: [2]byte{byte(1 + rand.IntN(100)), byte(rand.IntN(250))}, allowed: make(map[packet.Endpoint][]string),
-		opened: make(map[packet.Key]*host), sent: make(map[string]bool), run: make(map[string]int), broken: make(map[string]int),
+		opened: make(map[packet.Key]*host), sent: make(map[string]time.Time), answered: make(map[string]bool), run: make(map[string]int), broken: make(map[string]int),
 		watch: func(packet.Key, *host, bool) {},
 	}
-	s.server = httptest.NewServer(s.store)
+	s.server = httptest.NewServer(pagedStore{s.store})
 	for _, p := range []*uint16{&s.ports.packets, &s.ports.ready, &s.ports.control, &s.ports.outbound, &s.ports.app} {
 		if *p, err = s.reserve(0); err != nil {
 			return s, err
@@ -230,19 +231,10 @@
 	return nil
 }
 
-// stop sends a signal and waits until the daemon has ended.
-func (v *vm) stop(sig syscall.Signal) {
-	if v.cmd == nil {
-		return
-	}
-	v.site.rec.printf("%s gets %v", v.name, sig)
-	_ = v.cmd.Process.Signal(sig)
-	select {
-	case <-v.exited:
-	case <-time.After(6 * time.Second):
-		_ = v.cmd.Process.Kill()
-		<-v.exited
-	}
+// signal sends a signal to the daemon.
+func (v *vm) signal(sig syscall.Signal) {
+	v.site.rec.printf("%s gets the signal %q", v.name, sig)
+	_ = v.cmd.Process.Signal(sig) // it may have ended
 }
 
 // probe probes the readiness of the balancers twice a second, as the routers do.
@@ -373,16 +365,42 @@
 	watch(k, h, own)
 }
 
-func (s *site) requestSent(id string) {
+// requestMade records that a client is to send a request.
+func (s *site) requestMade(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sent[id] = time.Now()
+}
+
+// requestAnswered records that a client has got the answer to a request.
+func (s *site) requestAnswered(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answered[id] = true
+}
+
+// served returns how many of the requests made in an interval were answered, and how many
+// there were.
+func (s *site) served(from, to time.Time) (served, all int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.sent[id] = true
+	for id, at := range s.sent {
+		if at.Before(from) || at.After(to) {
+			continue
+		}
+		all++
+		if s.answered[id] {
+			served++
+		}
+	}
+	return served, all
 }
 
 // requestRun records that a host begins to work on a request, and judges ROUTE and UNASKED.
 func (s *site) requestRun(id string, k packet.Key, h *host) {
 	s.mu.Lock()
-	asked, allowed := s.sent[id], slices.Contains(s.allowed[k.Route], h.service)
+	_, asked := s.sent[id]
+	allowed := slices.Contains(s.allowed[k.Route], h.service)
 	s.run[id]++
 	s.mu.Unlock()
 	s.rec.printf("request %s to route %v runs at host %s of %s", id, k.Route.AddrPort(), h.id, h.service)
