--- a/review/stand3/host.go
+++ b/review/stand3/host.go
@@ -38,9 +38,10 @@
 	fill   []net.Conn // connections that fill the queue of a silent host's listener
 	cancel context.CancelFunc
 
-	mu     sync.Mutex
-	silent bool
-	flows  map[packet.Key]*hostFlow
+	mu       sync.Mutex
+	silent   bool
+	draining bool
+	flows    map[packet.Key]*hostFlow
 }
 
 // hostFlow is the host's end of a flow.
@@ -87,11 +88,17 @@
 // beat sends heartbeats until ctx is done.
 func (h *host) beat(ctx context.Context) {
 	for seq := 1; ctx.Err() == nil; seq++ {
+		state := "ready"
+		h.mu.Lock()
+		if h.draining {
+			state = "draining"
+		}
+		h.mu.Unlock()
 		status := h.call(ctx, http.MethodPut, map[string]any{
 			"service": h.service, "address": h.conn.LocalAddr().String(), "zone": zone, "version": "v1",
-			"max-concurrency": 4, "state": "ready", "warmup-left-ms": 0, "seq": seq, "born": h.born,
+			"max-concurrency": 4, "state": state, "warmup-left-ms": 0, "seq": seq, "born": h.born,
 		})
-		h.site.rec.printf("host %s of %s heartbeat %d -> %s", h.id, h.service, seq, status)
+		h.site.rec.printf("host %s of %s heartbeat %d, %s -> %s", h.id, h.service, seq, state, status)
 		select {
 		case <-ctx.Done():
 		case <-time.After(heartbeatInterval):
@@ -151,6 +158,21 @@
 	return nil
 }
 
+// drain makes the host report that it is draining.
+func (h *host) drain() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.draining = true
+}
+
+// leave deregisters the host and stops it.
+func (h *host) leave() {
+	h.cancel()
+	status := h.call(h.site.ctx, http.MethodDelete, nil)
+	h.stop()
+	h.site.rec.printf("host %s of %s has deregistered -> %s, and ended", h.id, h.service, status)
+}
+
 // stop closes the host's sockets, so that its address is free.
 func (h *host) stop() {
 	h.cancel()
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -19,8 +19,9 @@
 	rule string
 	play func(s *site, trouble bool) error
 }{
-	"reuse":   {"ROUTE", playReuse},
-	"recover": {"RECOVER", playRecover},
+	"reuse":    {"ROUTE", playReuse},
+	"reassign": {"ROUTE", playReassign},
+	"recover":  {"RECOVER", playRecover},
 }
 
 func main() {
