--- a/review/stand3/host.go
+++ b/review/stand3/host.go
@@ -94,10 +94,7 @@
 			state = "draining"
 		}
 		h.mu.Unlock()
-		status := h.call(ctx, http.MethodPut, map[string]any{
-			"service": h.service, "address": h.conn.LocalAddr().String(), "zone": zone, "version": "v1",
-			"max-concurrency": 4, "state": state, "warmup-left-ms": 0, "seq": seq, "born": h.born,
-		})
+		status := h.put(ctx, h.id, h.fields(state, seq))
 		h.site.rec.printf("host %s of %s heartbeat %d, %s -> %s", h.id, h.service, seq, state, status)
 		select {
 		case <-ctx.Done():
@@ -106,15 +103,36 @@
 	}
 }
 
+// fields returns the fields of a heartbeat.
+func (h *host) fields(state string, seq int) map[string]any {
+	return map[string]any{
+		"service": h.service, "address": h.conn.LocalAddr().String(), "zone": zone, "version": "v1",
+		"max-concurrency": 4, "state": state, "warmup-left-ms": 0, "seq": seq, "born": h.born,
+	}
+}
+
+// holds reports whether the host holds an open flow.
+func (h *host) holds(k packet.Key) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	f := h.flows[k]
+	return !h.silent && f != nil && f.open && !f.finished
+}
+
+// put sends a heartbeat to the agent.
+func (h *host) put(ctx context.Context, id string, fields map[string]any) string {
+	return h.call(ctx, http.MethodPut, id, fields)
+}
+
 // call calls the agent's API for its host and returns the status of the answer.
-func (h *host) call(ctx context.Context, method string, fields map[string]any) string {
+func (h *host) call(ctx context.Context, method, id string, fields map[string]any) string {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	body, err := json.Marshal(fields)
 	if err != nil {
 		return err.Error()
 	}
-	url := fmt.Sprintf("http://%v/-/instances/%s", netip.AddrPortFrom(h.vm.addr, h.site.ports.control), h.id)
+	url := fmt.Sprintf("http://%v/-/instances/%s", netip.AddrPortFrom(h.vm.addr, h.site.ports.control), id)
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return err.Error()
@@ -168,7 +186,7 @@
 // leave deregisters the host and stops it.
 func (h *host) leave() {
 	h.cancel()
-	status := h.call(h.site.ctx, http.MethodDelete, nil)
+	status := h.call(h.site.ctx, http.MethodDelete, h.id, nil)
 	h.stop()
 	h.site.rec.printf("host %s of %s has deregistered -> %s, and ended", h.id, h.service, status)
 }
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -44,13 +44,14 @@
 	vms       []*vm
 	bootstrap bool
 	version   int
-	allowed   map[packet.Endpoint][]string  // services that a route may lead to
-	opened    map[packet.Key]*host          // hosts of open flows
-	sent      map[string]time.Time          // when requests were made, by id
-	answered  map[string]bool               // ids of requests with an answer
-	run       map[string]int                // runs by request
-	broken    map[string]int                // by rule
-	watch     func(packet.Key, *host, bool) // called for a reset of an open flow
+	allowed   map[packet.Endpoint][]string // services that a route may lead to
+	opened    map[packet.Key]*host         // hosts of open flows
+	sent      map[string]time.Time         // when requests were made, by id
+	answered  map[string]bool              // ids of requests with an answer
+	run       map[string]int               // runs by request
+	broken    map[string]int               // by rule
+	onReset   func(packet.Key, *host)      // called for a reset of the system on an open flow
+	noService bool                         // settings leave the key service empty
 }
 
 // ports are the same on all VMs.
@@ -84,7 +85,7 @@
 		http:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		prefix: [2]byte{byte(1 + rand.IntN(100)), byte(rand.IntN(250))}, allowed: make(map[packet.Endpoint][]string),
 		opened: make(map[packet.Key]*host), sent: make(map[string]time.Time), answered: make(map[string]bool), run: make(map[string]int), broken: make(map[string]int),
-		watch: func(packet.Key, *host, bool) {},
+		onReset: func(packet.Key, *host) {},
 	}
 	s.server = httptest.NewServer(pagedStore{s.store})
 	for _, p := range []*uint16{&s.ports.packets, &s.ports.ready, &s.ports.control, &s.ports.outbound, &s.ports.app} {
@@ -192,7 +193,12 @@
 	}
 	s.mu.Unlock()
 	if v.service != "" {
-		lines = append(lines, "machine-class=side", "serves=side", "listen.outbound="+at(p.outbound), "app="+at(p.app), "service="+v.service)
+		lines = append(lines, "machine-class=side", "serves=side", "listen.outbound="+at(p.outbound), "app="+at(p.app))
+		if s.noService {
+			lines = append(lines, "service=")
+		} else {
+			lines = append(lines, "service="+v.service)
+		}
 	} else {
 		lines = append(lines, "machine-class=edge", "serves=edge,control")
 	}
@@ -359,10 +365,12 @@
 // flowReset records that a client has got a reset of an open flow.
 func (s *site) flowReset(k packet.Key, own bool) {
 	s.mu.Lock()
-	h, watch := s.opened[k], s.watch
+	h, onReset := s.opened[k], s.onReset
 	s.mu.Unlock()
 	s.rec.printf("flow %v is reset, by the system: %v", k, own)
-	watch(k, h, own)
+	if own {
+		onReset(k, h)
+	}
 }
 
 // requestMade records that a client is to send a request.
