--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -20,6 +20,7 @@
 	play func(s *site, trouble bool) error
 }{
 	"reuse":    {"ROUTE", playReuse},
+	"tworolls": {"FLOW", playTwoRolls},
 	"stray":    {"FLOW", playStray},
 	"reassign": {"ROUTE", playReassign},
 	"recover":  {"RECOVER", playRecover},
--- a/review/stand3/reassign.go
+++ b/review/stand3/reassign.go
@@ -7,27 +7,17 @@
 
 const (
 	drainTime    = 8 * time.Second        // of a host: drain-ms and some seconds
-	restartDelay = 300 * time.Millisecond // between the end and the start of a daemon
+	restartDelay = 500 * time.Millisecond // between the end and the start of a daemon
 )
 
 // playReassign plays the planned move of a VM from one service to another, whose host
 // drains first, while the agents are stopped and started in turn.
 func playReassign(s *site, trouble bool) error {
-	if err := s.configure("bookdesk", "kitdocs"); err != nil {
-		return err
-	}
-	vms, hosts, err := s.startSite(4, "bookdesk", "bookdesk", "bookdesk", "bookdesk", "kitdocs", "kitdocs")
+	vms, hosts, err := s.startServices()
 	if err != nil {
 		return err
 	}
-	defer func() {
-		for _, h := range hosts {
-			h.stop()
-		}
-	}()
-	if err := s.startUsers(4, usersPerClient, routeAddr(0), routeAddr(0), routeAddr(1)); err != nil {
-		return err
-	}
+	defer stopHosts(hosts)
 	time.Sleep(6 * time.Second)
 	if trouble {
 		vms[0].service = "kitdocs"
--- a/review/stand3/recover.go
+++ b/review/stand3/recover.go
@@ -16,21 +16,11 @@
 // playRecover plays a final fault, all processes of the system killed, while a large entry
 // of another writer is beside the configuration in the store.
 func playRecover(s *site, trouble bool) error {
-	if err := s.configure("bookdesk", "kitdocs"); err != nil {
-		return err
-	}
-	_, hosts, err := s.startSite(4, "bookdesk", "bookdesk", "bookdesk", "bookdesk", "kitdocs", "kitdocs")
+	_, hosts, err := s.startServices()
 	if err != nil {
 		return err
 	}
-	defer func() {
-		for _, h := range hosts {
-			h.stop()
-		}
-	}()
-	if err := s.startUsers(4, usersPerClient, routeAddr(0), routeAddr(0), routeAddr(1)); err != nil {
-		return err
-	}
+	defer stopHosts(hosts)
 	time.Sleep(3 * time.Second)
 	if trouble {
 		s.store.PutOdd("config", "draft", `"`+strings.Repeat("x", oddEntryBytes)+`"`)
--- a/review/stand3/reuse.go
+++ b/review/stand3/reuse.go
@@ -113,6 +113,35 @@
 	return vms, hosts, nil
 }
 
+// startServices starts a deployment of two services with its users: route 0 leads to
+// bookdesk, with four hosts, and route 1 to kitdocs, with two.
+func (s *site) startServices() (vms []*vm, hosts []*host, err error) {
+	if err := s.configure("bookdesk", "kitdocs"); err != nil {
+		return nil, nil, err
+	}
+	vms, hosts, err = s.startSite(4, "bookdesk", "bookdesk", "bookdesk", "bookdesk", "kitdocs", "kitdocs")
+	if err != nil {
+		return nil, nil, err
+	}
+	return vms, hosts, s.startUsers(4, usersPerClient, routeAddr(0), routeAddr(0), routeAddr(1))
+}
+
+// stopHosts stops those hosts that still run.
+func stopHosts(hosts []*host) {
+	for _, h := range hosts {
+		h.stop()
+	}
+}
+
+// judgeResets makes the site judge FLOW by the resets of running hosts' flows.
+func (s *site) judgeResets() {
+	s.onReset = func(k packet.Key, h *host) {
+		if h != nil && h.holds(k) {
+			s.fail("FLOW", "flow %v was reset by the system while host %s, which has had no disruption, holds it", k, h.id)
+		}
+	}
+}
+
 // reuseAfter is the least time between the end of a host and the reuse of its address, the
 // bound reuse-after-s.
 const reuseAfter = 2 * time.Second
@@ -123,16 +152,11 @@
 
 // playReuse plays a host that falls silent for good, whose address goes to another service.
 func playReuse(s *site, trouble bool) error {
-	if err := s.configure("bookdesk", "kitdocs"); err != nil {
-		return err
-	}
-	vms, hosts, err := s.startSite(3, "bookdesk", "bookdesk", "bookdesk", "bookdesk", "kitdocs", "kitdocs")
+	vms, hosts, err := s.startServices()
 	if err != nil {
 		return err
 	}
-	if err := s.startUsers(4, usersPerClient, routeAddr(0), routeAddr(0), routeAddr(1)); err != nil {
-		return err
-	}
+	defer stopHosts(hosts)
 	time.Sleep(6 * time.Second)
 	if trouble {
 		time.Sleep(settingsPoll - time.Since(vms[0].started)%settingsPoll + 150*time.Millisecond)
@@ -152,8 +176,5 @@
 		}
 	}
 	time.Sleep(8 * time.Second)
-	for _, h := range hosts {
-		defer h.stop()
-	}
 	return nil
 }
