--- a/review/stand3/client.go
+++ b/review/stand3/client.go
@@ -133,6 +133,7 @@
 func (f *clientFlow) request(ctx context.Context, id string) (body, reason string) {
 	text := fmt.Appendf(nil, "GET /feed HTTP/1.1\r\nHost: h\r\nX-Request-Id: %s\r\n\r\n", id)
 	end, wait := time.After(requestTimeout), firstRetry
+	f.c.site.rec.printf("request %s is sent on flow %v", id, f.key)
 	f.send(packet.ACK, f.seq, f.ack, text)
 	retry := time.After(wait)
 	for {
--- a/review/stand3/recover.go
+++ b/review/stand3/recover.go
@@ -23,7 +23,9 @@
 	defer stopHosts(hosts)
 	time.Sleep(3 * time.Second)
 	if trouble {
-		s.store.PutOdd("config", "draft", `"`+strings.Repeat("x", oddEntryBytes)+`"`)
+		if err := s.store.write("config", "draft", strings.Repeat("x", oddEntryBytes)); err != nil {
+			return err
+		}
 		s.rec.printf("another writer leaves the entry config/draft, a string of %d bytes", oddEntryBytes)
 	}
 	time.Sleep(6 * time.Second)
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -20,7 +20,6 @@
 	"time"
 
 	"skylarkturn/internal/packet"
-	"skylarkturn/internal/platformstand"
 )
 
 const zone = "jkt-cakung"
@@ -28,7 +27,7 @@
 // site is a small deployment on loopback addresses.
 type site struct {
 	rec    *record
-	store  *platformstand.Store
+	store  *store
 	server *httptest.Server
 	http   *http.Client
 	dir    string // settings files and logs
@@ -81,13 +80,13 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &site{
-		rec: rec, store: platformstand.NewStore(), dir: dir, log: log, ctx: ctx, cancel: cancel, bootstrap: true,
+		rec: rec, store: newStore(), dir: dir, log: log, ctx: ctx, cancel: cancel, bootstrap: true,
 		http:   &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		prefix: [2]byte{byte(1 + rand.IntN(100)), byte(rand.IntN(250))}, allowed: make(map[packet.Endpoint][]string),
 		opened: make(map[packet.Key]*host), sent: make(map[string]time.Time), answered: make(map[string]bool), run: make(map[string]int), broken: make(map[string]int),
 		onReset: func(packet.Key, *host) {},
 	}
-	s.server = httptest.NewServer(pagedStore{s.store})
+	s.server = httptest.NewServer(s.store)
 	for _, p := range []*uint16{&s.ports.packets, &s.ports.ready, &s.ports.control, &s.ports.outbound, &s.ports.app} {
 		if *p, err = s.reserve(0); err != nil {
 			return s, err
@@ -151,7 +150,7 @@
 	}
 	version := s.version
 	s.mu.Unlock()
-	if err := s.store.Put("config", "main", spec); err != nil {
+	if err := s.store.write("config", "main", spec); err != nil {
 		return err
 	}
 	s.rec.printf("configuration %d: routes lead to %v", version, services)
@@ -333,7 +332,7 @@
 			<-v.exited
 		}
 	}
-	s.store.Close()
+	s.store.close()
 	s.server.CloseClientConnections()
 	s.server.Close()
 	for _, c := range s.held {
@@ -375,6 +374,7 @@
 
 // requestMade records that a client is to send a request.
 func (s *site) requestMade(id string) {
+	s.rec.printf("request %s is made", id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.sent[id] = time.Now()
